--- a/scripts/check-events.py
+++ b/scripts/check-events.py
@@ -18,7 +18,7 @@
     faults.append("src/events.h: no events, or a number is used twice")
 faults += [f"docs/EVENTS.md lacks event {' '.join(event)}" for event in sorted(in_code - in_docs)]
 faults += [f"src/events.h lacks event {' '.join(event)}" for event in sorted(in_docs - in_code)]
-sources = "\n".join(p.read_text() for p in (root / "src").glob("*.cpp"))
+sources = "\n".join(p.read_text() for p in [*(root / "src").glob("*.cpp"), *(root / "platform").glob("*.cpp")])
 faults += [f"event {name} is never written" for constant, _, name, _ in code
            if f"events::{constant}" not in sources]
 print("\n".join(faults) if faults else f"event catalogue: {len(code)} events match")
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,7 +2,7 @@
 # Runs the formatter and the linter; any difference or warning is an error. With --fix, formats.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' 'standins/*.cpp' 'standins/*.h')
+mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' 'tests/*.cpp' 'tests/*.h' 'standins/*.cpp' 'standins/*.h')
 if [ "${1:-}" = --fix ]; then
     clang-format -i "${files[@]}"
     exit 0
@@ -15,7 +15,7 @@
 lint_one() {
     file=$1
     stamp="build/tidy/$(echo "$file" | tr / _)"
-    key=$( (cat .clang-tidy "$file"; git ls-files --cached --others --exclude-standard 'src/*.h' 'tests/*.h' 'generated/*.h' | sort | xargs cat) | sha256sum)
+    key=$( (cat .clang-tidy "$file"; git ls-files --cached --others --exclude-standard 'src/*.h' 'platform/*.cpp' 'platform/*.h' 'tests/*.h' 'generated/*.h' | sort | xargs cat) | sha256sum)
     [ -f "$stamp" ] && [ "$(cat "$stamp")" = "$key" ] && return 0
     if ! out=$(clang-tidy -p build --quiet "$file" 2>&1); then
         echo "$out"
--- /dev/null
+++ b/src/callplan.h
@@ -0,0 +1,76 @@
+/// @file
+/// What becomes of a caller's request after an attempt at a target has ended: another target, a
+/// truthful refusal, or an answer that leaves the outcome open. Pure.
+#pragma once
+
+#include "serviceconfig.h"
+
+#include <cstdint>
+
+namespace fireflycrank {
+
+/// How an attempt ended.
+enum class attempt_end : std::uint8_t {
+    not_connected, ///< no connection could be made, so nothing was sent
+    send_cut,      ///< the connection failed before the last byte had been handed to it
+    refused,       ///< the target said that it did not run the request
+    wrong_target,  ///< another incarnation answers at the address; it did not run the request
+    lost,          ///< no usable answer after the whole request had been handed over
+    broken         ///< the answer ended early
+};
+
+/// A request so far.
+struct call_progress {
+    call_kind kind{call_kind::once};
+    bool resumable{false};
+    unsigned max_attempts{1};
+    unsigned sent{0};           ///< targets that the request was sent to
+    unsigned unconnected{0};    ///< attempts that sent nothing
+    bool may_have_run{false};   ///< some target may have run it
+    bool answer_started{false}; ///< the caller has a part of the answer
+};
+
+enum class call_step : std::uint8_t {
+    try_another,
+    refuse,         ///< 503: it has not run and never will
+    report_unknown, ///< 502: it may have run
+    break_off       ///< end the started answer so that it cannot look complete
+};
+
+/// Whether another run of the request does no harm.
+/// @param progress the request
+/// @return true for idempotent requests and for streams that may be resumed
+bool may_run_again(call_progress const& progress);
+
+/// Decides after an attempt has ended. Notes in `progress` whether the request may have run.
+/// @param progress the request; `sent` and `unconnected` count the ended attempt
+/// @param end how it ended
+/// @param time_left whether a further attempt could still be answered in time
+/// @param take_budget takes one repeated send out of the retry budget; called only when needed
+/// @return what to do
+template <class take_budget_function>
+call_step after_attempt(call_progress& progress, attempt_end end, bool time_left,
+                        take_budget_function&& take_budget);
+
+/// Attempts that sent nothing before the request is given up.
+inline constexpr unsigned max_unconnected = 4;
+
+template <class take_budget_function>
+call_step after_attempt(call_progress& progress, attempt_end end, bool time_left,
+                        take_budget_function&& take_budget) {
+    progress.may_have_run =
+        progress.may_have_run || end == attempt_end::lost || end == attempt_end::broken;
+    bool const harmless = !progress.may_have_run || may_run_again(progress);
+    bool const places =
+        progress.sent < progress.max_attempts && progress.unconnected < max_unconnected;
+    bool const free_of_charge = progress.sent == 0; // the first send is no repeat
+    if (harmless && places && time_left && (free_of_charge || take_budget())) {
+        return call_step::try_another;
+    }
+    if (progress.answer_started) {
+        return call_step::break_off;
+    }
+    return progress.may_have_run ? call_step::report_unknown : call_step::refuse;
+}
+
+} // namespace fireflycrank
--- a/src/clock.cpp
+++ b/src/clock.cpp
@@ -1,11 +1,18 @@
 #include "clock.h"
 
+#include <ctime>
+
 namespace fireflycrank {
 
 time_point now(runtime_clock const& clock) {
     if (clock.paused.load()) {
         return time_point{duration{clock.paused_at.load()}};
     }
+    if (clock.counts_suspension.load()) {
+        std::timespec at{};
+        ::clock_gettime(CLOCK_BOOTTIME, &at);
+        return time_point{std::chrono::seconds{at.tv_sec} + std::chrono::nanoseconds{at.tv_nsec}};
+    }
     return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
 }
 
--- a/src/clock.h
+++ b/src/clock.h
@@ -20,6 +20,9 @@
 /// A clock that either follows the machine or stands still until a test advances it.
 struct runtime_clock {
     std::atomic<bool> paused{false};
+    /// Count the time during which the machine was suspended. The steady clock of the standard
+    /// library leaves it out, so a process that was suspended would trust what is long outdated.
+    std::atomic<bool> counts_suspension{false};
     std::atomic<std::int64_t> paused_at{0}; ///< nanoseconds on the monotonic time line
 };
 
--- a/src/consensus.cpp
+++ b/src/consensus.cpp
@@ -561,8 +561,9 @@
 // the lost disk (votes, acknowledged entries) no longer count for it.
 void consider_joining(consensus_state& state, message const& hello, time_point now,
                       consensus_actions& actions) {
-    if (state.role != replica_role::leader ||
-        !std::binary_search(state.peers.begin(), state.peers.end(), hello.from) ||
+    bool const may_join = state.settings.open_membership ||
+                          std::binary_search(state.peers.begin(), state.peers.end(), hello.from);
+    if (state.role != replica_role::leader || !may_join ||
         (hello.cluster != 0 && hello.cluster != state.hard.cluster)) {
         return;
     }
@@ -609,7 +610,8 @@
 void on_hello_reply(consensus_state& state, message const& reply, time_point now,
                     consensus_actions& actions) {
     bool const blank_here = state.hard.cluster == 0 && last_index(state) == 0;
-    if (!blank_here || reply.echo_disk != state.disk || state.peers.front() != state.name) {
+    if (!blank_here || !state.settings.may_form || reply.echo_disk != state.disk ||
+        state.peers.front() != state.name) {
         return;
     }
     if (reply.cluster != 0) {
@@ -721,11 +723,14 @@
         return;
     }
     state.hello_at = now + state.settings.heartbeat * hello_heartbeats;
-    if (blank && state.peers.size() == 1 && state.peers.front() == state.name) {
+    if (blank && state.settings.may_form && state.peers.size() == 1 &&
+        state.peers.front() == state.name) {
         form_cluster(state, now, actions);
         return;
     }
-    for (auto const& name : state.peers) {
+    std::set<std::string> asked{state.peers.begin(), state.peers.end()};
+    asked.insert(state.contacts.begin(), state.contacts.end());
+    for (auto const& name : asked) {
         if (name != state.name) {
             actions.messages.push_back(make_message(state, message_kind::hello, name, 0));
         }
@@ -830,7 +835,7 @@
     if (state.role != replica_role::leader) {
         return fail(error_kind::not_leader, "this replica does not lead", "ask " + state.leader);
     }
-    bool const leased = lease_holds(state, now);
+    bool const leased = state.settings.lease_reads && lease_holds(state, now);
     state.reads.push_back({id, std::max(state.commit, state.term_start), now, leased});
     if (!leased) {
         for (auto& [name, peer] : state.progress) {
@@ -846,7 +851,7 @@
     if (state.role != replica_role::leader || state.reads.empty()) {
         return ready;
     }
-    bool const leased = lease_holds(state, now);
+    bool const leased = state.settings.lease_reads && lease_holds(state, now);
     auto const since = confirmed_since(state, now);
     std::erase_if(state.reads, [&](pending_read const& read) {
         bool const confirmed = read.confirmed || leased || since >= read.asked_at;
@@ -889,6 +894,25 @@
     return index;
 }
 
+std::optional<member> superfluous_voter(consensus_state const& state, duration silent,
+                                        time_point now) {
+    if (state.role != replica_role::leader) {
+        return std::nullopt;
+    }
+    std::size_t voters = 0;
+    std::optional<member> lost;
+    for (auto const& one : members_of(state)) {
+        voters += one.voter ? 1 : 0;
+        auto const* const peer = progress_of(state, one);
+        bool const is_silent =
+            !is_self(state, one) && (peer == nullptr || now - peer->heard_at > silent);
+        if (one.voter && is_silent) {
+            lost = one;
+        }
+    }
+    return voters % 2 == 0 && voters > 2 ? lost : std::nullopt;
+}
+
 void compact(consensus_state& state, snapshot_data taken) {
     auto base = taken.meta.index;
     std::size_t bytes = 0;
--- a/src/consensus.h
+++ b/src/consensus.h
@@ -129,6 +129,14 @@
     std::size_t kept_entries{1024}; ///< kept behind a snapshot for followers that lag a little
     std::size_t kept_bytes{std::size_t{4} << 20U};
     bool promote_learners{true}; ///< the leader gives a caught-up learner its vote
+    /// Replicas that no list names may join; for deployments whose replicas change their addresses.
+    bool open_membership{false};
+    /// A blank replica may take part in forming a cluster. False once the cluster exists somewhere,
+    /// so that replicas which lost their disks never form a second one.
+    bool may_form{true};
+    /// Reads rest on the leader's lease, which needs clocks that count while a machine is
+    /// suspended. Otherwise each read takes a round of messages.
+    bool lease_reads{true};
 };
 
 /// A replica's part in the present term.
@@ -159,7 +167,8 @@
 struct consensus_state {
     std::string name;
     std::uint64_t disk{0};
-    std::vector<std::string> peers; ///< names that may be members, including this one; sorted
+    std::vector<std::string> peers;    ///< names that may be members, including this one; sorted
+    std::vector<std::string> contacts; ///< further names to ask for the cluster
     consensus_settings settings;
     rng random;
 
@@ -265,6 +274,17 @@
 result<std::uint64_t> propose_member(consensus_state& state, member const& changed, bool remove,
                                      time_point now, consensus_actions& actions);
 
+/// Names a voter that should be removed: one that has been silent while the number of voters is
+/// even. Such a cluster tolerates no more losses with it than without it. A replaced replica leaves
+/// the list this way once its successor has its vote; a short loss of one of an odd number changes
+/// nothing.
+/// @param state the replica
+/// @param silent how long a voter must have been silent
+/// @param now the time
+/// @return the voter, or nothing (always nothing on followers)
+std::optional<member> superfluous_voter(consensus_state const& state, duration silent,
+                                        time_point now);
+
 /// Drops the log up to a snapshot of the state machine, except a short tail for slow followers.
 /// @param state the replica
 /// @param taken a snapshot at or below the commit index
--- /dev/null
+++ b/src/directorysync.cpp
@@ -0,0 +1,146 @@
+#include "directorysync.h"
+
+#include <algorithm>
+
+namespace fireflycrank {
+
+void configure_registrars(directory_subscriber& subscriber,
+                          std::vector<std::string> const& addresses, time_point now) {
+    for (auto& [address, contact] : subscriber.registrars) {
+        contact.configured = false;
+    }
+    for (auto const& address : addresses) {
+        auto& contact = subscriber.registrars[address];
+        contact.configured = true;
+        contact.learned_at = now;
+    }
+}
+
+std::vector<addressed<directory_beat>> due_beats(directory_subscriber& subscriber, bool at_once,
+                                                 time_point now) {
+    std::erase_if(subscriber.registrars, [&](auto const& entry) {
+        auto const& contact = entry.second;
+        auto const last = std::max(contact.heard_at, contact.learned_at);
+        return !contact.configured && now - last > subscriber.settings.forget_registrar;
+    });
+    std::vector<std::string> known;
+    for (auto const& [address, contact] : subscriber.registrars) {
+        known.push_back(address);
+    }
+    std::vector<addressed<directory_beat>> beats;
+    for (auto& [address, contact] : subscriber.registrars) {
+        if (address == subscriber.self.address || (!at_once && now < contact.next_beat)) {
+            continue;
+        }
+        contact.next_beat = now + subscriber.settings.beat_period;
+        beats.push_back(
+            {address,
+             {subscriber.self, contact.run, contact.change, contact.daemons_revision, known}});
+    }
+    return beats;
+}
+
+void take_update(directory_subscriber& subscriber, std::string const& from,
+                 directory_update const& update, time_point now) {
+    auto& contact = subscriber.registrars[from];
+    if (contact.run != update.registrar_run) {
+        contact.change = 0;
+        contact.daemons_revision = 0;
+    }
+    contact.run = update.registrar_run;
+    contact.change = std::max(contact.change, update.change);
+    if (update.has_daemons && update.daemons_revision >= contact.daemons_revision) {
+        contact.daemons_revision = update.daemons_revision;
+        contact.daemons = update.daemons;
+    }
+    contact.config_version = update.config_version;
+    contact.confirmed = update.confirmed;
+    contact.heard_at = now;
+    for (auto const& address : update.registrars) {
+        if (!subscriber.registrars.contains(address)) {
+            subscriber.registrars[address].learned_at = now;
+        }
+    }
+}
+
+std::map<std::string, daemon_entry> listed_daemons(directory_subscriber const& subscriber,
+                                                   daemon_role role, time_point now) {
+    std::map<std::string, daemon_entry> listed;
+    for (auto const& [address, contact] : subscriber.registrars) {
+        if (now - contact.heard_at > subscriber.settings.update_life) {
+            continue;
+        }
+        for (auto const& entry : contact.daemons) {
+            if (entry.role != role) {
+                continue;
+            }
+            auto const [place, added] = listed.emplace(entry.address, entry);
+            if (!added && entry.started >= place->second.started) {
+                // Of two views of one run the one that says it is not ready is the newer one after
+                // a stop began; a process becomes ready only once.
+                bool const same_run = entry.started == place->second.started;
+                bool const ready = entry.ready && (!same_run || place->second.ready);
+                place->second = entry;
+                place->second.ready = ready;
+            }
+        }
+    }
+    return listed;
+}
+
+bool take_beat(directory_publisher& publisher, directory_beat const& beat, time_point now) {
+    auto& known = publisher.subscribers[beat.self.address];
+    bool const changed = known.entry != beat.self;
+    if (beat.self.started < known.entry.started) {
+        return false; // sent before the process restarted
+    }
+    known.entry = beat.self;
+    known.heard_at = now;
+    bool const this_run = beat.registrar_run == publisher.run;
+    known.known_change = this_run ? beat.known_change : 0;
+    known.known_daemons = this_run ? beat.known_daemons : 0;
+    if (beat.self.role == daemon_role::registrar) {
+        publisher.registrars.insert(beat.self.address);
+    }
+    if (changed) {
+        ++publisher.daemons_revision;
+    }
+    return changed;
+}
+
+directory_update update_for(directory_publisher const& publisher, std::string const& address,
+                            publisher_context const& context) {
+    directory_update update;
+    update.registrar_run = publisher.run;
+    update.change = context.targets->last_change;
+    update.daemons_revision = publisher.daemons_revision;
+    update.registrars = {publisher.registrars.begin(), publisher.registrars.end()};
+    update.registrars.push_back(publisher.address);
+    update.config_version = context.config_version;
+    update.confirmed = context.confirmed;
+    auto const found = publisher.subscribers.find(address);
+    bool const known = found != publisher.subscribers.end();
+    update.targets = changes_after(*context.targets, known ? found->second.known_change : 0);
+    update.has_daemons = !known || found->second.known_daemons != publisher.daemons_revision;
+    if (update.has_daemons) {
+        for (auto const& [peer, state] : publisher.subscribers) {
+            update.daemons.push_back(state.entry);
+        }
+    }
+    return update;
+}
+
+bool drop_silent(directory_publisher& publisher, time_point now) {
+    auto const dropped = std::erase_if(publisher.subscribers, [&](auto const& entry) {
+        return now - entry.second.heard_at > publisher.settings.daemon_life;
+    });
+    std::erase_if(publisher.registrars, [&](std::string const& address) {
+        return !publisher.subscribers.contains(address);
+    });
+    if (dropped > 0) {
+        ++publisher.daemons_revision;
+    }
+    return dropped > 0;
+}
+
+} // namespace fireflycrank
--- /dev/null
+++ b/src/directorysync.h
@@ -0,0 +1,168 @@
+/// @file
+/// How the directory of targets and of our own processes spreads. Registrars publish; gateways,
+/// rank agents and the other registrars subscribe with periodic beats. Every update repeats what
+/// the subscriber has not confirmed, so a lost message needs no repair of its own. Pure.
+#pragma once
+
+#include "clock.h"
+#include "targetdirectory.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fireflycrank {
+
+enum class daemon_role : std::uint8_t { unknown = 0, gateway = 1, registrar = 2, rank_agent = 3 };
+
+/// One of our own processes.
+struct daemon_entry {
+    std::string address; ///< where its peers reach it
+    daemon_role role{daemon_role::unknown};
+    std::string zone;
+    std::string client_address; ///< gateways: where callers connect
+    bool ready{false};          ///< gateways: takes new callers
+    std::string target_id;      ///< rank agents: the target beside which it runs
+    std::uint64_t started{0};   ///< rises with every start of the process
+    std::string group;          ///< rank agents: the group of its target
+    unsigned rank{0};           ///< rank agents: the target's rank in it
+    bool operator==(daemon_entry const&) const = default;
+};
+
+struct directory_beat {
+    daemon_entry self;
+    std::uint64_t registrar_run{0};
+    std::uint64_t known_change{0};
+    std::uint64_t known_daemons{0};
+    std::vector<std::string> registrars;
+};
+
+struct directory_update {
+    std::uint64_t registrar_run{0};
+    std::uint64_t change{0};
+    std::vector<target_announcement> targets;
+    std::uint64_t daemons_revision{0};
+    bool has_daemons{false};
+    std::vector<daemon_entry> daemons;
+    std::vector<std::string> registrars;
+    std::uint64_t config_version{0};
+    bool confirmed{false}; ///< the registrar knows that its configuration is the newest
+};
+
+/// Times of the exchange.
+struct sync_settings {
+    duration beat_period{std::chrono::milliseconds{500}};
+    /// A process that sent no beat for this long is left out of the list: three lost beats.
+    duration daemon_life{std::chrono::milliseconds{1600}};
+    /// A registrar that sent no update for this long is not believed about processes.
+    duration update_life{std::chrono::milliseconds{1600}};
+    /// A learned registrar that was silent for this long is forgotten, unless settings name it.
+    duration forget_registrar{std::chrono::seconds{30}};
+};
+
+/// A registrar as a subscriber sees it.
+struct registrar_contact {
+    bool configured{false}; ///< the settings name it
+    std::uint64_t run{0};
+    std::uint64_t change{0};
+    std::uint64_t daemons_revision{0};
+    std::vector<daemon_entry> daemons;
+    std::uint64_t config_version{0};
+    bool confirmed{false};
+    time_point heard_at{};
+    time_point learned_at{};
+    time_point next_beat{};
+};
+
+/// The subscriber's part of a process.
+struct directory_subscriber {
+    daemon_entry self;
+    sync_settings settings;
+    std::map<std::string, registrar_contact> registrars; ///< by address
+};
+
+/// A message with its destination.
+template <class content>
+struct addressed {
+    std::string to;
+    content message;
+};
+
+/// Names the registrars of the settings. Others stay known.
+/// @param subscriber the subscriber
+/// @param addresses peer addresses of the seeds
+/// @param now the time
+void configure_registrars(directory_subscriber& subscriber,
+                          std::vector<std::string> const& addresses, time_point now);
+
+/// The beats that are due.
+/// @param subscriber the subscriber
+/// @param at_once send to all, because something about this process changed
+/// @param now the time
+/// @return beats to send
+std::vector<addressed<directory_beat>> due_beats(directory_subscriber& subscriber, bool at_once,
+                                                 time_point now);
+
+/// Takes an update, except the targets, which the caller merges into its directory.
+/// @param subscriber the subscriber
+/// @param from the registrar's address
+/// @param update the update
+/// @param now the time
+void take_update(directory_subscriber& subscriber, std::string const& from,
+                 directory_update const& update, time_point now);
+
+/// The processes of a role that some believed registrar lists.
+/// @param subscriber the subscriber
+/// @param role the role
+/// @param now the time
+/// @return entries by address
+std::map<std::string, daemon_entry> listed_daemons(directory_subscriber const& subscriber,
+                                                   daemon_role role, time_point now);
+
+/// The publisher's part of a registrar.
+struct directory_publisher {
+    std::string address; ///< this registrar's own
+    std::uint64_t run{0};
+    sync_settings settings;
+    struct subscriber_state {
+        daemon_entry entry;
+        time_point heard_at{};
+        std::uint64_t known_change{0};
+        std::uint64_t known_daemons{0};
+    };
+    std::map<std::string, subscriber_state> subscribers; ///< by address
+    std::uint64_t daemons_revision{1};
+    std::set<std::string> registrars;
+};
+
+/// What a registrar adds to its updates.
+struct publisher_context {
+    target_directory const* targets{nullptr};
+    std::uint64_t config_version{0};
+    bool confirmed{false};
+};
+
+/// Takes a beat.
+/// @param publisher the publisher
+/// @param beat the beat
+/// @param now the time
+/// @return true when the list of processes changed
+bool take_beat(directory_publisher& publisher, directory_beat const& beat, time_point now);
+
+/// The update for one subscriber.
+/// @param publisher the publisher
+/// @param address the subscriber
+/// @param context what belongs to it
+/// @return the update
+directory_update update_for(directory_publisher const& publisher, std::string const& address,
+                            publisher_context const& context);
+
+/// Drops processes that fell silent.
+/// @param publisher the publisher
+/// @param now the time
+/// @return true when the list of processes changed
+bool drop_silent(directory_publisher& publisher, time_point now);
+
+} // namespace fireflycrank
--- /dev/null
+++ b/src/directorywire.cpp
@@ -0,0 +1,245 @@
+#include "directorywire.h"
+
+#include "directory.pb.h"
+
+#include <limits>
+
+namespace fireflycrank {
+
+namespace {
+
+template <class wire_message>
+result<wire_message> parse_as(std::string_view bytes) {
+    wire_message message;
+    if (bytes.size() > static_cast<std::size_t>(std::numeric_limits<int>::max()) ||
+        !message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return fail(error_kind::corrupt_data, "a " + message.GetTypeName() + " cannot be parsed",
+                    "check that all processes run the same version");
+    }
+    return message;
+}
+
+void fill(wire::TargetAnnouncement& wired, target_announcement const& plain) {
+    wired.set_id(plain.id);
+    wired.set_service(plain.service);
+    wired.set_address(plain.address);
+    wired.set_zone(plain.zone);
+    wired.set_version(plain.version);
+    wired.set_slots(plain.slots);
+    wired.set_state(static_cast<std::uint32_t>(plain.condition));
+    wired.set_warm_up_left_ms(plain.warm_up_left.count());
+    wired.set_born_ms(plain.born.time_since_epoch().count());
+    wired.set_sequence(plain.sequence);
+}
+
+target_announcement plain_of(wire::TargetAnnouncement const& wired) {
+    target_announcement plain;
+    plain.id = wired.id();
+    plain.service = wired.service();
+    plain.address = wired.address();
+    plain.zone = wired.zone();
+    plain.version = wired.version();
+    plain.slots = wired.slots();
+    plain.condition =
+        wired.state() > 2 ? target_condition::gone : static_cast<target_condition>(wired.state());
+    plain.warm_up_left = std::chrono::milliseconds{wired.warm_up_left_ms()};
+    plain.born = wall_time{std::chrono::milliseconds{wired.born_ms()}};
+    plain.sequence = wired.sequence();
+    return plain;
+}
+
+void fill(wire::DaemonEntry& wired, daemon_entry const& plain) {
+    wired.set_address(plain.address);
+    wired.set_role(static_cast<std::uint32_t>(plain.role));
+    wired.set_zone(plain.zone);
+    wired.set_client_address(plain.client_address);
+    wired.set_ready(plain.ready);
+    wired.set_target_id(plain.target_id);
+    wired.set_started(plain.started);
+    wired.set_group(plain.group);
+    wired.set_rank(plain.rank);
+}
+
+daemon_entry plain_of(wire::DaemonEntry const& wired) {
+    daemon_entry plain;
+    plain.address = wired.address();
+    plain.role = wired.role() > 3 ? daemon_role::unknown : static_cast<daemon_role>(wired.role());
+    plain.zone = wired.zone();
+    plain.client_address = wired.client_address();
+    plain.ready = wired.ready();
+    plain.target_id = wired.target_id();
+    plain.started = wired.started();
+    plain.group = wired.group();
+    plain.rank = wired.rank();
+    return plain;
+}
+
+} // namespace
+
+std::string serialize(directory_beat const& plain) {
+    wire::DirectoryBeat wired;
+    fill(*wired.mutable_self(), plain.self);
+    wired.set_registrar_run(plain.registrar_run);
+    wired.set_known_change(plain.known_change);
+    wired.set_known_daemons(plain.known_daemons);
+    for (auto const& address : plain.registrars) {
+        wired.add_registrars(address);
+    }
+    return wired.SerializeAsString();
+}
+
+result<directory_beat> parse_beat(std::string_view bytes) {
+    BOOST_OUTCOME_TRY(wired, parse_as<wire::DirectoryBeat>(bytes));
+    directory_beat plain;
+    plain.self = plain_of(wired.self());
+    plain.registrar_run = wired.registrar_run();
+    plain.known_change = wired.known_change();
+    plain.known_daemons = wired.known_daemons();
+    plain.registrars.assign(wired.registrars().begin(), wired.registrars().end());
+    return plain;
+}
+
+std::string serialize(directory_update const& plain) {
+    wire::DirectoryUpdate wired;
+    wired.set_registrar_run(plain.registrar_run);
+    wired.set_change(plain.change);
+    for (auto const& one : plain.targets) {
+        fill(*wired.add_targets(), one);
+    }
+    wired.set_daemons_revision(plain.daemons_revision);
+    wired.set_has_daemons(plain.has_daemons);
+    for (auto const& one : plain.daemons) {
+        fill(*wired.add_daemons(), one);
+    }
+    for (auto const& address : plain.registrars) {
+        wired.add_registrars(address);
+    }
+    wired.set_config_version(plain.config_version);
+    wired.set_confirmed(plain.confirmed);
+    return wired.SerializeAsString();
+}
+
+result<directory_update> parse_update(std::string_view bytes) {
+    BOOST_OUTCOME_TRY(wired, parse_as<wire::DirectoryUpdate>(bytes));
+    directory_update plain;
+    plain.registrar_run = wired.registrar_run();
+    plain.change = wired.change();
+    for (auto const& one : wired.targets()) {
+        plain.targets.push_back(plain_of(one));
+    }
+    plain.daemons_revision = wired.daemons_revision();
+    plain.has_daemons = wired.has_daemons();
+    for (auto const& one : wired.daemons()) {
+        plain.daemons.push_back(plain_of(one));
+    }
+    plain.registrars.assign(wired.registrars().begin(), wired.registrars().end());
+    plain.config_version = wired.config_version();
+    plain.confirmed = wired.confirmed();
+    return plain;
+}
+
+std::string serialize(departure_notice const& plain) {
+    wire::DepartureNotice wired;
+    wired.set_number(plain.number);
+    fill(*wired.mutable_target(), plain.target);
+    return wired.SerializeAsString();
+}
+
+result<departure_notice> parse_departure(std::string_view bytes) {
+    BOOST_OUTCOME_TRY(wired, parse_as<wire::DepartureNotice>(bytes));
+    return departure_notice{wired.number(), plain_of(wired.target())};
+}
+
+std::string serialize_recorded(std::uint64_t number) {
+    wire::DepartureRecorded wired;
+    wired.set_number(number);
+    return wired.SerializeAsString();
+}
+
+result<std::uint64_t> parse_recorded(std::string_view bytes) {
+    BOOST_OUTCOME_TRY(wired, parse_as<wire::DepartureRecorded>(bytes));
+    return wired.number();
+}
+
+std::string serialize_configuration_request(std::uint64_t above) {
+    wire::ConfigurationRequest wired;
+    wired.set_above_version(above);
+    return wired.SerializeAsString();
+}
+
+result<std::uint64_t> parse_configuration_request(std::string_view bytes) {
+    BOOST_OUTCOME_TRY(wired, parse_as<wire::ConfigurationRequest>(bytes));
+    return wired.above_version();
+}
+
+std::string serialize(configuration_body const& plain) {
+    wire::ConfigurationBody wired;
+    wired.set_version(plain.version);
+    wired.set_content(plain.content);
+    return wired.SerializeAsString();
+}
+
+result<configuration_body> parse_configuration(std::string_view bytes) {
+    BOOST_OUTCOME_TRY(wired, parse_as<wire::ConfigurationBody>(bytes));
+    configuration_body plain;
+    plain.version = wired.version();
+    plain.content = std::move(*wired.mutable_content());
+    return plain;
+}
+
+std::string serialize(install_reply const& plain) {
+    wire::InstallReply wired;
+    wired.set_installed(plain.installed);
+    wired.set_version(plain.version);
+    return wired.SerializeAsString();
+}
+
+result<install_reply> parse_install_reply(std::string_view bytes) {
+    BOOST_OUTCOME_TRY(wired, parse_as<wire::InstallReply>(bytes));
+    return install_reply{wired.installed(), wired.version()};
+}
+
+std::string serialize(engine_load const& plain) {
+    wire::EngineLoad wired;
+    wired.set_target_id(plain.target_id);
+    wired.set_born_ms(plain.born.time_since_epoch().count());
+    wired.set_started(plain.started);
+    wired.set_number(plain.number);
+    wired.set_answering(plain.answering);
+    wired.set_running(plain.running);
+    wired.set_waiting(plain.waiting);
+    wired.set_memory_used(plain.memory_used);
+    wired.set_memory_total(plain.memory_total);
+    wired.set_pace(plain.pace);
+    wired.set_group(plain.group);
+    wired.set_epoch(plain.epoch);
+    wired.set_rank(plain.rank);
+    wired.set_group_size(plain.group_size);
+    wired.set_group_open(plain.group_open);
+    wired.set_pass_ms(plain.pass.count());
+    return wired.SerializeAsString();
+}
+
+result<engine_load> parse_engine_load(std::string_view bytes) {
+    BOOST_OUTCOME_TRY(wired, parse_as<wire::EngineLoad>(bytes));
+    engine_load plain;
+    plain.target_id = wired.target_id();
+    plain.born = wall_time{std::chrono::milliseconds{wired.born_ms()}};
+    plain.started = wired.started();
+    plain.number = wired.number();
+    plain.answering = wired.answering();
+    plain.running = wired.running();
+    plain.waiting = wired.waiting();
+    plain.memory_used = wired.memory_used();
+    plain.memory_total = wired.memory_total();
+    plain.pace = wired.pace();
+    plain.group = wired.group();
+    plain.epoch = wired.epoch();
+    plain.rank = wired.rank();
+    plain.group_size = wired.group_size();
+    plain.group_open = wired.group_open();
+    plain.pass = std::chrono::duration<double, std::milli>{wired.pass_ms()};
+    return plain;
+}
+
+} // namespace fireflycrank
--- /dev/null
+++ b/src/directorywire.h
@@ -0,0 +1,84 @@
+/// @file
+/// Conversion between the directory's plain structs and protobuf (schema/directory.proto).
+#pragma once
+
+#include "directorysync.h"
+#include "engineload.h"
+#include "error.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace fireflycrank {
+
+// Names in Envelope.type.
+inline constexpr std::string_view beat_type = "dir.beat";
+inline constexpr std::string_view update_type = "dir.update";
+inline constexpr std::string_view departure_type = "dir.departure";
+inline constexpr std::string_view departure_recorded_type = "dir.recorded";
+inline constexpr std::string_view configuration_request_type = "dir.wantconfig";
+inline constexpr std::string_view configuration_body_type = "dir.config";
+inline constexpr std::string_view engine_load_type = "dir.load";
+
+/// A registrar asks the others to record a departure before it is acknowledged.
+struct departure_notice {
+    std::uint64_t number{0};
+    target_announcement target;
+};
+
+/// The service configuration as the operator sent it.
+struct configuration_body {
+    std::uint64_t version{0};
+    std::string content;
+};
+
+/// The outcome of a replicated install command.
+struct install_reply {
+    bool installed{false};
+    std::uint64_t version{0}; ///< in force afterwards
+};
+
+// Parsing malformed bytes fails with `corrupt_data`.
+
+/// Serializes a beat.
+std::string serialize(directory_beat const& plain);
+/// Parses a beat.
+result<directory_beat> parse_beat(std::string_view bytes);
+
+/// Serializes an update.
+std::string serialize(directory_update const& plain);
+/// Parses an update.
+result<directory_update> parse_update(std::string_view bytes);
+
+/// Serializes a notice.
+std::string serialize(departure_notice const& plain);
+/// Parses a notice.
+result<departure_notice> parse_departure(std::string_view bytes);
+
+/// Serializes the confirmation of a notice.
+std::string serialize_recorded(std::uint64_t number);
+/// Parses the confirmation of a notice.
+result<std::uint64_t> parse_recorded(std::string_view bytes);
+
+/// Serializes a request for a configuration above a version.
+std::string serialize_configuration_request(std::uint64_t above);
+/// Parses a request for a configuration above a version.
+result<std::uint64_t> parse_configuration_request(std::string_view bytes);
+
+/// Serializes a configuration; also the replicated command and the snapshot of its table.
+std::string serialize(configuration_body const& plain);
+/// Parses a configuration.
+result<configuration_body> parse_configuration(std::string_view bytes);
+
+/// Serializes the reply of the replicated command.
+std::string serialize(install_reply const& plain);
+/// Parses the reply of the replicated command.
+result<install_reply> parse_install_reply(std::string_view bytes);
+
+/// Serializes a load report.
+std::string serialize(engine_load const& plain);
+/// Parses a load report.
+result<engine_load> parse_engine_load(std::string_view bytes);
+
+} // namespace fireflycrank
--- a/src/events.h
+++ b/src/events.h
@@ -83,6 +83,26 @@
 inline constexpr log_event_kind rank_waiting{625, "rank_waiting", log_level::warn};
 inline constexpr log_event_kind rank_running{626, "rank_running", log_level::info};
 
+// 7xx: gateway, registrar and rank agent.
+inline constexpr log_event_kind settings_reloaded{701, "settings_reloaded", log_level::info};
+inline constexpr log_event_kind settings_refused{702, "settings_refused", log_level::error};
+inline constexpr log_event_kind dependency_lost{703, "dependency_lost", log_level::warn};
+inline constexpr log_event_kind dependency_regained{704, "dependency_regained", log_level::info};
+inline constexpr log_event_kind call_attempt{711, "call_attempt", log_level::info};
+inline constexpr log_event_kind call_attempt_ended{712, "call_attempt_ended", log_level::info};
+inline constexpr log_event_kind call_answered{713, "call_answered", log_level::info};
+inline constexpr log_event_kind call_refused{714, "call_refused", log_level::info};
+inline constexpr log_event_kind call_failed{715, "call_failed", log_level::warn};
+inline constexpr log_event_kind call_abandoned{716, "call_abandoned", log_level::info};
+inline constexpr log_event_kind log_lines_dropped{717, "log_lines_dropped", log_level::warn};
+inline constexpr log_event_kind target_changed{721, "target_changed", log_level::info};
+inline constexpr log_event_kind departure_settled{725, "departure_settled", log_level::info};
+inline constexpr log_event_kind gateway_readiness{722, "gateway_readiness", log_level::info};
+inline constexpr log_event_kind configuration_in_force{723, "configuration_in_force",
+                                                       log_level::info};
+inline constexpr log_event_kind configuration_unreadable{724, "configuration_unreadable",
+                                                         log_level::error};
+
 } // namespace events
 
 } // namespace fireflycrank
--- /dev/null
+++ b/src/gateway.cpp
@@ -0,0 +1,407 @@
+#include "gateway.h"
+
+#include "directorywire.h"
+#include "peeraddress.h"
+#include "platform/callheaders.h"
+#include "platform/operatorconfig.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace fireflycrank {
+
+namespace {
+
+constexpr std::chrono::milliseconds sweep_period{50};
+constexpr std::chrono::milliseconds sync_period{100};
+constexpr std::chrono::milliseconds slow_period{1'000};
+// A registrar that does not send the configuration it announced is left for another.
+constexpr std::chrono::milliseconds config_patience{250};
+// Without any registrar that is sure of its configuration, a started gateway serves with the newest
+// one it was told after this long: the core may be down for much longer.
+constexpr std::chrono::milliseconds unconfirmed_wait{4'000};
+// Life of an answer to callers that ask where to connect. Short, so that a VM that stopped is left
+// soon; some callers keep answers three times as long.
+constexpr std::chrono::seconds directory_answer_life{2};
+// After SIGTERM callers still come with old answers for three lives.
+constexpr std::chrono::milliseconds accept_after_stop{4'500};
+// Left of the grace period when what is still open is cut.
+constexpr std::chrono::milliseconds stop_margin{500};
+constexpr std::size_t max_listed = 64;
+constexpr unsigned ok_status = 200;
+constexpr unsigned not_found = 404;
+constexpr unsigned unavailable = 503;
+
+// The listeners and the slow work around the gateway's state.
+struct gateway_daemon {
+    gateway_daemon(vm_settings settings, settings_source read)
+        : state{std::move(settings)}, read_settings{std::move(read)} {}
+
+    gateway state;
+    settings_source read_settings;
+    std::shared_ptr<http_listener> callers;
+    std::shared_ptr<http_listener> readiness;
+    std::shared_ptr<http_listener> directory;
+    std::shared_ptr<http_listener> metrics;
+    time_point stop_at{};
+};
+
+bool is_ready(gateway const& owner) {
+    return !owner.stopping && owner.config != nullptr && owner.config_confirmed;
+}
+
+void send_beats(gateway& owner, bool at_once) {
+    auto const at = loop_now(owner.loop);
+    for (auto const& beat : due_beats(owner.subscriber, at_once, at)) {
+        owner.link->send(beat.to, beat_type, serialize(beat.message));
+    }
+}
+
+void update_readiness(gateway& owner) {
+    bool const ready = is_ready(owner);
+    if (ready == owner.subscriber.self.ready) {
+        return;
+    }
+    owner.subscriber.self.ready = ready;
+    log_bounded(owner.loop, events::gateway_readiness,
+                {{"ready", ready},
+                 {"stopping", owner.stopping},
+                 {"version", owner.config ? owner.config->version : 0},
+                 {"targets", owner.targets.size()}});
+    send_beats(owner, true);
+}
+
+void install_config(gateway& owner, configuration_body const& body, std::string const& from) {
+    if (owner.config != nullptr && body.version <= owner.config->version) {
+        return;
+    }
+    auto decoded = platform::decode_configuration(body.content);
+    auto const checked = decoded ? index_config(decoded.value()) : ok();
+    if (!decoded || !checked) {
+        log_bounded(owner.loop, events::configuration_unreadable,
+                    {{"version", body.version},
+                     {"from", from},
+                     {"error", describe(decoded ? checked.error() : decoded.error())}});
+        return;
+    }
+    log_bounded(owner.loop, events::configuration_in_force,
+                {{"version", body.version},
+                 {"before", owner.config ? owner.config->version : 0},
+                 {"from", from},
+                 {"routes", decoded.value().routes.size()}});
+    owner.config = std::make_shared<service_config const>(std::move(decoded).value());
+}
+
+void confirm_config(gateway& owner) {
+    if (owner.config == nullptr || owner.config_confirmed) {
+        return;
+    }
+    auto const at = loop_now(owner.loop);
+    bool sure = at - owner.started_at > unconfirmed_wait;
+    std::uint64_t newest = 0;
+    for (auto const& [address, contact] : owner.subscriber.registrars) {
+        newest = std::max(newest, contact.config_version);
+        sure = sure || (contact.confirmed && contact.config_version <= owner.config->version);
+    }
+    owner.config_confirmed = sure && newest <= owner.config->version;
+}
+
+void ask_for_config(gateway& owner, std::string const& from, std::uint64_t announced) {
+    auto const have = owner.config == nullptr ? 0 : owner.config->version;
+    auto const at = loop_now(owner.loop);
+    bool const waiting = owner.asked_version >= announced && at - owner.asked_at < config_patience;
+    if (announced <= have || waiting) {
+        return;
+    }
+    owner.asked_version = announced;
+    owner.asked_at = at;
+    owner.link->send(from, configuration_request_type, serialize_configuration_request(have));
+}
+
+// The views follow the directory; a new incarnation starts without history.
+void sync_views(gateway& owner) {
+    for (auto const& [id, record] : owner.directory.targets) {
+        auto& view = owner.targets[id];
+        bool const fresh = view.said.id.empty() || view.said.born != record.said.born;
+        if (fresh || view.said.condition != record.said.condition) {
+            log_bounded(owner.loop, events::target_changed,
+                        {{"target", id},
+                         {"service", record.said.service},
+                         {"address", record.said.address},
+                         {"condition", static_cast<int>(record.said.condition)},
+                         {"sequence", record.said.sequence},
+                         {"born", record.said.born.time_since_epoch().count()}});
+        }
+        if (fresh) {
+            auto const running = view.own_running;
+            view = {};
+            view.own_running = running;
+        }
+        bool const told_wrong = !fresh && view.said.condition == target_condition::gone;
+        view.said = record.said;
+        view.said.condition = told_wrong ? target_condition::gone : record.said.condition;
+        view.heard_at = record.heard_at;
+    }
+    std::erase_if(owner.targets, [&](auto const& entry) {
+        return !owner.directory.targets.contains(entry.first) && entry.second.own_running == 0;
+    });
+}
+
+void on_update(gateway& owner, std::string const& from, directory_update const& update) {
+    auto const at = loop_now(owner.loop);
+    take_update(owner.subscriber, from, update, at);
+    for (auto const& said : update.targets) {
+        take_announcement(owner.directory, said, announcement_source::peer, at);
+    }
+    sync_views(owner);
+    ask_for_config(owner, from, update.config_version);
+    confirm_config(owner);
+    update_readiness(owner);
+}
+
+void on_message(gateway& owner, peer_message const& message) {
+    if (message.type == update_type) {
+        if (auto const update = parse_update(message.body)) {
+            on_update(owner, message.sender, update.value());
+            return;
+        }
+    } else if (message.type == configuration_body_type) {
+        if (auto const body = parse_configuration(message.body)) {
+            install_config(owner, body.value(), message.sender);
+            confirm_config(owner);
+            update_readiness(owner);
+            return;
+        }
+    } else if (message.type == engine_load_type) {
+        if (auto const report = parse_engine_load(message.body)) {
+            take_engine_load(owner, report.value());
+            return;
+        }
+    }
+    log_bounded(owner.loop, events::message_malformed,
+                {{"type", message.type}, {"sender", message.sender}});
+}
+
+std::vector<std::string> caller_addresses(gateway const& owner) {
+    std::vector<std::string> addresses;
+    auto const listed =
+        listed_daemons(owner.subscriber, daemon_role::gateway, loop_now(owner.loop));
+    for (auto const& [address, entry] : listed) {
+        bool const self = address == owner.subscriber.self.address;
+        if (entry.ready && !self && addresses.size() + 1 < max_listed) {
+            addresses.push_back(entry.client_address);
+        }
+    }
+    if (is_ready(owner)) {
+        addresses.push_back(owner.settings.listen.callers);
+    }
+    return addresses;
+}
+
+void serve_directory(gateway& owner, incoming_request const& request, answer_writer& writer) {
+    if (!platform::decode_directory_question(request.head)) {
+        writer.send(not_found, {}, {});
+        return;
+    }
+    auto const addresses = caller_addresses(owner);
+    if (addresses.empty()) {
+        writer.send(unavailable, {}, {});
+        return;
+    }
+    auto const life = std::min(
+        directory_answer_life,
+        std::chrono::duration_cast<std::chrono::seconds>(owner.settings.bounds.directory_life));
+    send_json(writer, ok_status, platform::encode_directory_answer(addresses, life));
+}
+
+void serve_readiness(gateway const& owner, incoming_request const& request, answer_writer& writer) {
+    if (!platform::is_readiness_question(request.head)) {
+        writer.send(not_found, {}, {});
+        return;
+    }
+    writer.send(is_ready(owner) ? ok_status : unavailable, {}, {});
+}
+
+listener_limits limits_of(gateway const& owner) {
+    if (owner.config == nullptr) {
+        return {};
+    }
+    auto const& limits = owner.config->limits;
+    return {limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout};
+}
+
+void reload(gateway_daemon& daemon) {
+    auto fresh = daemon.read_settings();
+    if (!fresh) {
+        log_event(events::settings_refused, {{"error", describe(fresh.error())}});
+        return;
+    }
+    auto& owner = daemon.state;
+    owner.settings.seeds = fresh.value().seeds;
+    owner.settings.bounds = fresh.value().bounds;
+    configure_registrars(owner.subscriber, seed_peers(owner.settings), loop_now(owner.loop));
+    log_event(events::settings_reloaded, {{"seeds", owner.settings.seeds.size()}});
+}
+
+void begin_stop(gateway_daemon& daemon) {
+    auto& owner = daemon.state;
+    if (owner.stopping) {
+        return;
+    }
+    owner.stopping = true;
+    log_event(events::process_stopping, {{"in_flight", owner.calls.size()}});
+    update_readiness(owner);
+    daemon.callers->close_after_answers();
+    daemon.stop_at = loop_now(owner.loop) + owner.settings.bounds.grace - stop_margin;
+    run_after(owner.loop, accept_after_stop, [&daemon] {
+        daemon.callers->stop_accepting();
+        daemon.callers->close_idle();
+    });
+}
+
+// Ends the loop once nothing is open any more, or when the grace period is nearly over.
+bool check_stop(gateway_daemon& daemon) {
+    auto& owner = daemon.state;
+    if (!owner.stopping) {
+        return true;
+    }
+    auto const left = daemon.stop_at - loop_now(owner.loop);
+    auto const grace = owner.settings.bounds.grace - stop_margin;
+    bool const waited = grace - left > accept_after_stop;
+    bool const idle = owner.calls.empty() && daemon.callers->busy() == 0;
+    if ((waited && idle) || left <= duration::zero()) {
+        owner.loop.context.stop();
+        return false;
+    }
+    return true;
+}
+
+result<void> open_listeners(gateway_daemon& daemon) {
+    auto& owner = daemon.state;
+    auto& context = owner.loop.context;
+    auto const& listen = owner.settings.listen;
+    BOOST_OUTCOME_TRY(
+        link, peer_link::open(context, owner.subscriber.self.address,
+                              [&owner](peer_message message) { on_message(owner, message); }));
+    owner.link = link;
+    BOOST_OUTCOME_TRY(callers, http_listener::open(context, listen.callers, owner.loop.clock,
+                                                   [&owner](incoming_request request,
+                                                            std::shared_ptr<answer_writer> writer) {
+                                                       serve_call(owner, std::move(request),
+                                                                  std::move(writer));
+                                                   }));
+    daemon.callers = callers;
+    if (!listen.readiness.empty()) {
+        BOOST_OUTCOME_TRY(readiness,
+                          http_listener::open(context, listen.readiness, owner.loop.clock,
+                                              [&owner](incoming_request const& request,
+                                                       std::shared_ptr<answer_writer> const& out) {
+                                                  serve_readiness(owner, request, *out);
+                                              }));
+        daemon.readiness = readiness;
+    }
+    if (!listen.directory.empty()) {
+        BOOST_OUTCOME_TRY(directory,
+                          http_listener::open(context, listen.directory, owner.loop.clock,
+                                              [&owner](incoming_request const& request,
+                                                       std::shared_ptr<answer_writer> const& out) {
+                                                  serve_directory(owner, request, *out);
+                                              }));
+        daemon.directory = directory;
+    }
+    BOOST_OUTCOME_TRY(metrics, open_metrics(owner.loop, owner.settings, owner.metrics));
+    daemon.metrics = metrics;
+    return ok();
+}
+
+void start_periodic_work(gateway_daemon& daemon) {
+    auto& owner = daemon.state;
+    run_every(owner.loop, sweep_period, [&daemon, &owner] {
+        sweep_calls(owner);
+        owner.pool.sweep();
+        return check_stop(daemon);
+    });
+    run_every(owner.loop, sync_period, [&daemon, &owner] {
+        owner.link->tick();
+        send_beats(owner, false);
+        confirm_config(owner);
+        update_readiness(owner);
+        daemon.callers->limits(limits_of(owner));
+        daemon.callers->sweep();
+        return true;
+    });
+    run_every(owner.loop, slow_period, [&daemon, &owner] {
+        forget_old(owner.directory, {}, loop_now(owner.loop));
+        sync_views(owner);
+        for (auto const& listener : {daemon.readiness, daemon.directory, daemon.metrics}) {
+            if (listener) {
+                listener->sweep();
+            }
+        }
+        auto const& pool = owner.pool.counters();
+        set_gauge(*owner.metrics, "fireflycrank_target_connections_opened", "",
+                  static_cast<double>(pool.opened));
+        set_gauge(*owner.metrics, "fireflycrank_target_connections_reused", "",
+                  static_cast<double>(pool.reused));
+        set_gauge(*owner.metrics, "fireflycrank_calls_open", "",
+                  static_cast<double>(owner.calls.size()));
+        return true;
+    });
+}
+
+} // namespace
+
+gateway::gateway(vm_settings configured)
+    : settings{std::move(configured)}
+    , pool{loop.context, loop.clock}
+    , metrics{make_metrics()}
+    , random{random_seed()} {
+    subscriber.self.address = peer_address(settings, settings.ip);
+    subscriber.self.role = daemon_role::gateway;
+    subscriber.self.zone = settings.zone;
+    subscriber.self.client_address = settings.listen.callers;
+    subscriber.self.started =
+        static_cast<std::uint64_t>(wall_now(loop.clock).time_since_epoch().count());
+    bound.ratio = settings.bounds.retry_ratio;
+    bound.allowance = settings.bounds.retry_allowance;
+    bound.window = settings.bounds.retry_window;
+    started_at = loop_now(loop);
+}
+
+void take_engine_load(gateway& owner, engine_load const& report) {
+    auto const found = owner.targets.find(report.target_id);
+    if (found == owner.targets.end() || found->second.said.born != report.born) {
+        return;
+    }
+    auto& view = found->second;
+    auto const at = loop_now(owner.loop);
+    view.answering = report.answering;
+    if (!report.answering) {
+        return;
+    }
+    view.load = load_sample{at, report.running, report.waiting, view.own_running, report.pace};
+    if (!report.group.empty()) {
+        view.group = group_place{report.group, report.epoch, report.rank, report.group_open, at};
+    }
+}
+
+result<void> run_gateway(settings_source const& read_settings, std::string const& settings_path) {
+    BOOST_OUTCOME_TRY(settings, read_settings());
+    gateway_daemon daemon{std::move(settings), read_settings};
+    auto& owner = daemon.state;
+    configure_registrars(owner.subscriber, seed_peers(owner.settings), loop_now(owner.loop));
+    BOOST_OUTCOME_TRYV(open_listeners(daemon));
+    handle_signals(
+        owner.loop, [&daemon] { begin_stop(daemon); }, [&daemon] { reload(daemon); });
+    watch_file(owner.loop, settings_path, [&daemon] { reload(daemon); });
+    start_periodic_work(daemon);
+    send_beats(owner, true);
+    log_event(events::process_started, {{"role", "gateway"},
+                                        {"process", owner.settings.name},
+                                        {"incarnation", owner.subscriber.self.started}});
+    owner.loop.context.run();
+    log_event(events::process_stopped, {});
+    return ok();
+}
+
+} // namespace fireflycrank
--- /dev/null
+++ b/src/gateway.h
@@ -0,0 +1,81 @@
+/// @file
+/// A gateway: an entry that calls targets directly. It takes callers' requests, chooses a target,
+/// forwards, and repeats where that is harmless. One event loop runs it all; nothing is locked.
+/// gateway.cpp keeps the state current, gatewaycall.cpp serves one request.
+#pragma once
+
+#include "callmessage.h"
+#include "callplan.h"
+#include "directorysync.h"
+#include "engineload.h"
+#include "eventloop.h"
+#include "httplistener.h"
+#include "metrics.h"
+#include "peerlink.h"
+#include "retryledger.h"
+#include "rng.h"
+#include "serviceconfig.h"
+#include "targetchoice.h"
+#include "targetpool.h"
+#include "vmsettings.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace fireflycrank {
+
+class gateway_call;
+
+/// What a gateway knows and has open.
+struct gateway {
+    explicit gateway(vm_settings configured);
+
+    event_loop loop;
+    vm_settings settings;
+    std::shared_ptr<peer_link> link;
+    target_pool pool;
+    std::shared_ptr<metrics_registry> metrics;
+
+    directory_subscriber subscriber;
+    target_directory directory;
+    std::map<std::string, target_view> targets;
+    choice_settings choice;
+    std::map<std::string, retry_ledger> ledgers; ///< by service
+    retry_bound bound;
+
+    std::shared_ptr<service_config const> config;
+    std::uint64_t asked_version{0}; ///< configuration that was asked for last
+    time_point asked_at{};
+    bool config_confirmed{false}; ///< some registrar knew it to be the newest
+    time_point started_at{};
+
+    std::set<std::shared_ptr<gateway_call>> calls;
+    rng random;
+    bool stopping{false};
+};
+
+/// Serves a caller's request.
+/// @param owner the gateway; outlives the call
+/// @param request the request
+/// @param writer its answer
+void serve_call(gateway& owner, incoming_request request, std::shared_ptr<answer_writer> writer);
+
+/// Ends calls whose time is over; call it every 50 ms or so.
+/// @param owner the gateway
+void sweep_calls(gateway& owner);
+
+/// Takes an agent's report about its target.
+/// @param owner the gateway
+/// @param report the report
+void take_engine_load(gateway& owner, engine_load const& report);
+
+/// Runs a gateway until it is stopped.
+/// @param read_settings reads the settings file
+/// @param settings_path the file, watched for changes
+/// @return nothing, or why it could not start
+result<void> run_gateway(settings_source const& read_settings, std::string const& settings_path);
+
+} // namespace fireflycrank
--- /dev/null
+++ b/src/gatewaycall.cpp
@@ -0,0 +1,507 @@
+#include "eventsplit.h"
+#include "gateway.h"
+#include "platform/callheaders.h"
+
+#include <algorithm>
+
+namespace fireflycrank {
+
+namespace {
+
+constexpr unsigned unauthorized = 401;
+constexpr unsigned not_found = 404;
+constexpr unsigned bad_gateway = 502;
+constexpr unsigned unavailable = 503;
+constexpr unsigned gateway_timeout = 504;
+constexpr unsigned ok_status = 200;
+constexpr unsigned first_error_status = 300;
+
+// One round trip between zones and a full accept queue fit; a dead VM is given up soon enough to
+// try another within a first token's objective.
+constexpr std::chrono::milliseconds connect_limit{300};
+// Kept connections idle for longer are not used for requests that must not run twice.
+constexpr std::chrono::milliseconds once_max_idle{800};
+constexpr std::chrono::milliseconds repeatable_max_idle{10'000};
+// A target told to stop at the deadline answers by itself; its answer needs this long to arrive.
+constexpr std::chrono::milliseconds answer_slack{120};
+// Below this there is no time for a target to do anything.
+constexpr std::chrono::milliseconds least_time_left{15};
+constexpr std::size_t max_backlog = 256U << 10U;
+constexpr std::size_t max_answer_bytes = 32U << 20U;
+constexpr std::chrono::milliseconds default_time_limit{60'000};
+constexpr unsigned lowest_urgency = 9;
+
+// When to come back after a refusal, before jitter.
+constexpr std::chrono::milliseconds soon{300};
+constexpr std::chrono::milliseconds later{1'000};
+
+char const* name_of(attempt_end end) {
+    switch (end) {
+    case attempt_end::not_connected:
+        return "not_connected";
+    case attempt_end::send_cut:
+        return "send_cut";
+    case attempt_end::refused:
+        return "refused";
+    case attempt_end::wrong_target:
+        return "wrong_target";
+    case attempt_end::lost:
+        return "lost";
+    case attempt_end::broken:
+        return "broken";
+    }
+    return "";
+}
+
+char const* name_of(call_step step) {
+    switch (step) {
+    case call_step::try_another:
+        return "try_another";
+    case call_step::refuse:
+        return "refuse";
+    case call_step::report_unknown:
+        return "report_unknown";
+    case call_step::break_off:
+        return "break_off";
+    }
+    return "";
+}
+
+} // namespace
+
+/// One caller's request at the gateway.
+class gateway_call : public std::enable_shared_from_this<gateway_call> {
+public:
+    gateway_call(gateway& owner, incoming_request request, std::shared_ptr<answer_writer> writer)
+        : owner_{owner}
+        , request_{std::move(request)}
+        , writer_{std::move(writer)}
+        , call_{platform::decode_call(request_.head)} {}
+
+    void begin() {
+        auto const& config = owner_.config;
+        if (config == nullptr) {
+            refuse("no_configuration", soon);
+            return;
+        }
+        auto const* const route = find_route(*config, call_.host, request_.head.target);
+        if (route == nullptr) {
+            answer_own(not_found, "no_route", std::nullopt);
+            return;
+        }
+        if (route->needs_key && config->has_teams) {
+            auto const* const team = find_team(*config, call_.key);
+            if (team == nullptr) {
+                answer_own(unauthorized, "unknown_key", std::nullopt);
+                return;
+            }
+            team_ = team->name;
+            urgency_ = team->priority;
+        }
+        take_route(*route);
+        owner_.calls.insert(shared_from_this());
+        writer_->on_gone([weak = weak_from_this()] {
+            if (auto const self = weak.lock()) {
+                self->on_caller_gone();
+            }
+        });
+        attempt();
+    }
+
+    void sweep(time_point at) {
+        if (at >= give_up_at_ && !ended_) {
+            on_time_over();
+        }
+    }
+
+private:
+    void take_route(call_route const& route) {
+        version_ = owner_.config->version;
+        route_ = route.name;
+        progress_.kind = route.kind;
+        progress_.resumable = route.resumable;
+        progress_.max_attempts = route.max_attempts;
+        urgency_ = std::min(urgency_.value_or(route.priority), lowest_urgency);
+        service_ = pick_service(route, next_unit(owner_.random));
+        count_request(owner_.ledgers[service_], owner_.bound, request_.began);
+        auto const limit =
+            std::min<duration>(call_.time_limit.value_or(default_time_limit), route.timeout);
+        ends_at_ = request_.began + limit;
+        give_up_at_ = ends_at_ + answer_slack;
+        splitter_.last_id = call_.after_event;
+    }
+
+    [[nodiscard]] std::chrono::milliseconds time_left() const {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(ends_at_ -
+                                                                     loop_now(owner_.loop));
+    }
+
+    target_view* view() {
+        auto const found = owner_.targets.find(target_);
+        return found == owner_.targets.end() ? nullptr : &found->second;
+    }
+
+    void attempt() {
+        auto const at = loop_now(owner_.loop);
+        auto const choice = choose_target(owner_.targets, service_, owner_.settings.zone, tried_,
+                                          owner_.choice, owner_.random, at);
+        if (choice.id.empty()) {
+            give_up(tried_.empty() ? "no_target" : "no_other_target");
+            return;
+        }
+        target_ = choice.id;
+        tried_.push_back(target_);
+        auto& chosen = owner_.targets.at(target_);
+        ++chosen.own_running;
+        running_ = true;
+        sent_at_ = at;
+        answer_.reset();
+        body_.clear();
+        log_bounded(owner_.loop, events::call_attempt,
+                    {{"call", call_.attempt_id},
+                     {"route", route_},
+                     {"version", version_},
+                     {"attempt", tried_.size()},
+                     {"target", target_},
+                     {"load", choice.load},
+                     {"slots", choice.slots},
+                     {"report_age_ms", in_millis(choice.report_age)},
+                     {"candidates", choice.candidates},
+                     {"left_ms", time_left().count()}});
+        exchange_ = owner_.pool.start(target_bytes(chosen), exchange_handlers());
+    }
+
+    target_request target_bytes(target_view const& chosen) {
+        forwarding_fields fields;
+        fields.target_id = chosen.said.id;
+        fields.team = team_;
+        fields.time_left = time_left();
+        fields.urgency = urgency_;
+        fields.after_event = splitter_.last_id;
+        target_request out;
+        out.address = chosen.said.address;
+        out.bytes = format_request(request_.head.method, request_.head.target,
+                                   platform::encode_target_fields(request_.head, fields),
+                                   request_.body, request_.had_length);
+        out.head_only = request_.head.method == "HEAD";
+        out.connect_limit = connect_limit;
+        out.max_idle = may_run_again(progress_) ? repeatable_max_idle : once_max_idle;
+        return out;
+    }
+
+    exchange_events exchange_handlers() {
+        auto const self = shared_from_this();
+        return {[self](message_head const& head) { return self->on_head(head); },
+                [self](std::string bytes) { return self->on_body(std::move(bytes)); },
+                [self](exchange_end how) { self->on_exchange_end(how); }};
+    }
+
+    // An answer to another request, left over on the connection, is skipped.
+    bool on_head(message_head const& head) {
+        auto answer = platform::decode_answer(head);
+        if (!answer.attempt_id.empty() && answer.attempt_id != call_.attempt_id) {
+            return false;
+        }
+        if (auto* const known = view(); known != nullptr && answer.load) {
+            auto const pace = known->load ? known->load->pace : 1.0;
+            known->load = load_sample{loop_now(owner_.loop), answer.load->running,
+                                      answer.load->waiting, known->own_running, pace};
+        }
+        answer_ = std::move(answer);
+        head_ = head;
+        return true;
+    }
+
+    [[nodiscard]] bool usable() const {
+        bool const success = answer_->status < first_error_status;
+        return !success || (answer_->signed_by_target && !answer_->attempt_id.empty());
+    }
+
+    [[nodiscard]] bool streaming() const {
+        return progress_.kind == call_kind::stream && answer_->status == ok_status && usable();
+    }
+
+    bool on_body(std::string bytes) {
+        if (!streaming()) {
+            body_ += bytes;
+            if (body_.size() > max_answer_bytes) {
+                exchange_->cancel();
+                after(attempt_end::broken);
+            }
+            return true;
+        }
+        pass_on(split_events(splitter_, bytes));
+        bool const room = writer_->backlog() < max_backlog;
+        if (!room) {
+            writer_->on_drained([weak = weak_from_this()] {
+                auto const self = weak.lock();
+                if (self && self->exchange_) {
+                    self->exchange_->resume();
+                }
+            });
+        }
+        return room;
+    }
+
+    void pass_on(std::string const& events) {
+        if (events.empty()) {
+            return;
+        }
+        if (!progress_.answer_started) {
+            progress_.answer_started = true;
+            first_event_at_ = loop_now(owner_.loop);
+            writer_->start(head_.status, head_.reason, platform::encode_caller_fields(head_));
+        }
+        writer_->write(events);
+    }
+
+    void leave_target() {
+        if (!running_) {
+            return;
+        }
+        running_ = false;
+        if (auto* const known = view()) {
+            known->own_running -= known->own_running > 0 ? 1 : 0;
+        }
+    }
+
+    void on_exchange_end(exchange_end how) {
+        exchange_.reset();
+        leave_target();
+        if (how == exchange_end::complete) {
+            on_complete();
+            return;
+        }
+        if (auto* const known = view()) {
+            note_failure(*known, owner_.choice, loop_now(owner_.loop));
+        }
+        switch (how) {
+        case exchange_end::not_connected:
+            after(attempt_end::not_connected);
+            return;
+        case exchange_end::send_cut:
+            after(attempt_end::send_cut);
+            return;
+        case exchange_end::lost:
+            after(attempt_end::lost);
+            return;
+        default:
+            after(attempt_end::broken);
+        }
+    }
+
+    void on_complete() {
+        if (answer_->not_run) {
+            note_refusal();
+            after(answer_->status == misdirected ? attempt_end::wrong_target
+                                                 : attempt_end::refused);
+            return;
+        }
+        if (!usable()) {
+            after(attempt_end::lost);
+            return;
+        }
+        if (auto* const known = view()) {
+            note_success(*known);
+        }
+        if (progress_.answer_started && !streaming()) {
+            // The target that should go on with the stream answered with a failure of its own.
+            after(attempt_end::broken);
+            return;
+        }
+        if (streaming()) {
+            finish_stream();
+            return;
+        }
+        count_outcome("answered");
+        log_end(events::call_answered, answer_->status, "");
+        writer_->send(answer_->status, platform::encode_caller_fields(head_), std::move(body_));
+        end();
+    }
+
+    void finish_stream() {
+        pass_on(std::exchange(splitter_.partial, {}));
+        if (!progress_.answer_started) {
+            writer_->start(head_.status, head_.reason, platform::encode_caller_fields(head_));
+        }
+        count_outcome("answered");
+        log_end(events::call_answered, ok_status, "");
+        writer_->finish();
+        end();
+    }
+
+    // The target's own word about itself or its group.
+    void note_refusal() {
+        auto* const known = view();
+        if (known == nullptr) {
+            return;
+        }
+        if (answer_->status == misdirected) {
+            known->said.condition = target_condition::gone;
+            return;
+        }
+        if (!answer_->at_fault.empty()) {
+            note_failure(*known, owner_.choice, loop_now(owner_.loop));
+        }
+    }
+
+    void after(attempt_end end) {
+        progress_.sent += end == attempt_end::not_connected ? 0 : 1;
+        progress_.unconnected += end == attempt_end::not_connected ? 1 : 0;
+        drop_partial(splitter_);
+        auto const step = after_attempt(progress_, end, time_left() > least_time_left, [this] {
+            return take_repeat(owner_.ledgers[service_], owner_.bound, gateways(),
+                               loop_now(owner_.loop));
+        });
+        log_bounded(owner_.loop, events::call_attempt_ended,
+                    {{"call", call_.attempt_id},
+                     {"target", target_},
+                     {"end", name_of(end)},
+                     {"status", answer_ ? answer_->status : 0},
+                     {"after_ms", in_millis(loop_now(owner_.loop) - sent_at_)},
+                     {"step", name_of(step)}});
+        count(*owner_.metrics, "fireflycrank_attempts_failed_total",
+              std::string{"end=\""} + name_of(end) + "\"");
+        if (step == call_step::try_another) {
+            attempt();
+            return;
+        }
+        give_up(name_of(end));
+    }
+
+    [[nodiscard]] std::uint64_t gateways() const {
+        return listed_daemons(owner_.subscriber, daemon_role::gateway, loop_now(owner_.loop))
+                   .size() +
+               1;
+    }
+
+    // No further target: the answer says what is known of the request.
+    void give_up(std::string const& reason) {
+        if (progress_.answer_started) {
+            log_end(events::call_failed, 0, reason);
+            count_outcome("broken_off");
+            end();
+            writer_->abort();
+            return;
+        }
+        if (progress_.may_have_run) {
+            answer_own(bad_gateway, reason, std::nullopt);
+            return;
+        }
+        refuse(reason, reason == "refused" ? soon : later);
+    }
+
+    void on_time_over() {
+        bool const handed_over = running_;
+        if (exchange_) {
+            exchange_->cancel();
+            exchange_.reset();
+        }
+        leave_target();
+        progress_.may_have_run = progress_.may_have_run || handed_over;
+        if (progress_.answer_started || !progress_.may_have_run) {
+            give_up("time_over");
+            return;
+        }
+        answer_own(gateway_timeout, "time_over", std::nullopt);
+    }
+
+    void on_caller_gone() {
+        if (ended_) {
+            return;
+        }
+        if (exchange_) {
+            exchange_->cancel();
+            exchange_.reset();
+        }
+        leave_target();
+        count_outcome("abandoned");
+        log_end(events::call_abandoned, 0, "caller_gone");
+        end();
+    }
+
+    void refuse(std::string const& reason, std::chrono::milliseconds come_back) {
+        // Spread, so that those who were refused together do not return together.
+        auto const spread = static_cast<std::uint64_t>(come_back.count());
+        auto const advice =
+            come_back + std::chrono::milliseconds{next_below(owner_.random, spread)};
+        answer_own(unavailable, reason, advice);
+    }
+
+    void answer_own(unsigned status, std::string const& reason,
+                    std::optional<std::chrono::milliseconds> come_back) {
+        bool const refused = status == unavailable;
+        count_outcome(refused ? "refused" : "failed");
+        log_end(refused ? events::call_refused : events::call_failed, status, reason);
+        auto fields = platform::own_answer_fields(call_.attempt_id, come_back);
+        end();
+        writer_->send(status, std::move(fields), {});
+    }
+
+    void count_outcome(char const* outcome) {
+        auto const labels = std::string{"outcome=\""} + outcome + "\"";
+        count(*owner_.metrics, "fireflycrank_calls_total", labels);
+        observe(*owner_.metrics, "fireflycrank_call_ms", labels,
+                in_millis(loop_now(owner_.loop) - request_.began));
+    }
+
+    void log_end(log_event_kind const& kind, unsigned status, std::string const& reason) {
+        auto const at = loop_now(owner_.loop);
+        std::vector<log_field> fields{
+            {"call", call_.attempt_id}, {"route", route_},
+            {"service", service_},      {"team", team_},
+            {"version", version_},      {"status", status},
+            {"reason", reason},         {"attempts", tried_.size()},
+            {"target", target_},        {"took_ms", in_millis(at - request_.began)}};
+        if (first_event_at_ != time_point{}) {
+            fields.emplace_back("first_event_ms", in_millis(first_event_at_ - request_.began));
+            fields.emplace_back("events", splitter_.events);
+        }
+        log_bounded(owner_.loop, kind, fields);
+    }
+
+    void end() {
+        ended_ = true;
+        owner_.calls.erase(shared_from_this());
+    }
+
+    static constexpr unsigned misdirected = 421;
+
+    gateway& owner_;
+    incoming_request request_;
+    std::shared_ptr<answer_writer> writer_;
+    caller_call call_;
+    call_progress progress_;
+    std::string route_;
+    std::string service_;
+    std::string team_;
+    std::optional<unsigned> urgency_;
+    std::uint64_t version_{0};
+    time_point ends_at_{};
+    time_point give_up_at_{};
+    time_point sent_at_{};
+    time_point first_event_at_{};
+    std::vector<std::string> tried_;
+    std::string target_;
+    bool running_{false};
+    bool ended_{false};
+    std::shared_ptr<target_exchange> exchange_;
+    std::optional<target_answer> answer_;
+    message_head head_;
+    std::string body_;
+    event_splitter splitter_;
+};
+
+void serve_call(gateway& owner, incoming_request request, std::shared_ptr<answer_writer> writer) {
+    std::make_shared<gateway_call>(owner, std::move(request), std::move(writer))->begin();
+}
+
+void sweep_calls(gateway& owner) {
+    auto const at = loop_now(owner.loop);
+    auto const open = owner.calls;
+    for (auto const& call : open) {
+        call->sweep(at);
+    }
+}
+
+} // namespace fireflycrank
--- a/src/log.h
+++ b/src/log.h
@@ -6,6 +6,7 @@
 #include "events.h"
 
 #include <concepts>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,16 @@
 /// @return nothing; invalid_settings if the file cannot be opened
 result<void> open_log(std::string const& level, std::string const& file);
 
+/// Opens the log of this process on standard output, written by a thread of its own behind a
+/// bounded queue: the caller never waits, and the oldest lines are dropped when the queue is full.
+/// @param level least severe level to write
+/// @return nothing; invalid_settings if the level is unknown
+result<void> open_background_log(std::string const& level);
+
+/// Lines that the bounded queue has dropped since the start.
+/// @return the count; 0 for a log that is not in the background
+std::uint64_t dropped_log_lines();
+
 /// Writes one event. Does nothing before open_log.
 /// @param kind the event
 /// @param fields what belongs to it
@@ -41,6 +52,9 @@
 /// Writes out buffered lines.
 void flush_log();
 
+/// Writes out what is queued and ends the log's threads.
+void close_log();
+
 /// Quotes a string as JSON.
 /// @param text UTF-8 text; control characters are escaped, invalid bytes are replaced by '?'
 /// @return a JSON string with its quotes
--- /dev/null
+++ b/src/registrar.cpp
@@ -0,0 +1,679 @@
+#include "registrar.h"
+
+#include "consensuswire.h"
+#include "controlnode.h"
+#include "departures.h"
+#include "directorysync.h"
+#include "directorywire.h"
+#include "peeraddress.h"
+#include "peerlink.h"
+#include "platform/callheaders.h"
+#include "platform/operatorconfig.h"
+#include "serviceconfig.h"
+#include "servicetable.h"
+
+#include <algorithm>
+
+namespace fireflycrank {
+
+namespace {
+
+constexpr std::chrono::milliseconds tick_period{50};
+constexpr std::chrono::milliseconds slow_period{1'000};
+// A replica whose disk failed is opened again at this period; the directory is served meanwhile.
+constexpr std::chrono::milliseconds reopen_period{1'000};
+// A leader's message within this time proves that the applied configuration is the newest.
+constexpr std::chrono::milliseconds leader_contact_life{600};
+// Silence of a voter before an even number of voters is made odd. Longer than a restart takes.
+constexpr std::chrono::milliseconds voter_silence{2'500};
+// An operator's call is given up by then; it sends the same again.
+constexpr std::chrono::milliseconds operator_patience{1'500};
+constexpr std::chrono::milliseconds stop_delay{300};
+constexpr std::size_t max_operator_body = 16U << 20U;
+
+// A core VM has a small part of a processor, so the timers are slower than the product's own.
+constexpr std::chrono::milliseconds heartbeat{100};
+constexpr std::chrono::milliseconds election_timeout_min{600};
+constexpr std::chrono::milliseconds election_timeout_max{1'200};
+constexpr std::size_t snapshot_bytes = 8U << 20U; // well under the disk's and the memory's size
+constexpr std::size_t kept_bytes = 2U << 20U;
+
+constexpr unsigned ok_status = 200;
+constexpr unsigned temporary_redirect = 307;
+constexpr unsigned bad_request = 400;
+constexpr unsigned not_found = 404;
+constexpr unsigned unavailable = 503;
+
+constexpr char const* empty_object = "{}";
+
+// An operator's call that waits for the replica.
+struct operator_call {
+    std::shared_ptr<answer_writer> writer;
+    bool fetch{false};
+    std::uint64_t version{0};
+    time_point since{};
+};
+
+struct registrar_daemon {
+    explicit registrar_daemon(vm_settings configured) : settings{std::move(configured)} {}
+
+    event_loop loop;
+    vm_settings settings;
+    settings_source read_settings;
+    std::string address;
+    std::uint64_t run{0};
+    std::shared_ptr<metrics_registry> metrics = make_metrics();
+    std::shared_ptr<peer_link> link;
+    std::shared_ptr<http_listener> control;
+    std::shared_ptr<http_listener> metrics_listener;
+
+    target_directory directory;
+    directory_publisher publisher;
+    directory_subscriber subscriber; ///< to the other registrars
+    departure_table departures;
+    std::map<std::uint64_t, std::shared_ptr<answer_writer>> departing; ///< by departure number
+
+    service_table services;
+    control_state tables;
+    std::unique_ptr<control_node> node; ///< null while the disk fails
+    time_point reopen_at{};
+    std::string last_leader;
+    member_list last_members;
+    std::uint64_t last_version{0};
+    std::map<std::uint64_t, operator_call> operator_calls; ///< by request number
+    std::uint64_t last_request{0};
+    bool flush_posted{false};
+    bool stopping{false};
+};
+
+time_point daemon_now(registrar_daemon const& daemon) {
+    return loop_now(daemon.loop);
+}
+
+std::string control_address(registrar_daemon const& daemon, std::string const& replica) {
+    auto const& own = daemon.settings.listen.control;
+    return ip_of(replica) + own.substr(own.rfind(':'));
+}
+
+void post_flush(registrar_daemon& daemon);
+
+// --- the replica -------------------------------------------------------------------------------
+
+void open_replica(registrar_daemon& daemon) {
+    daemon.services = {};
+    daemon.tables = {};
+    register_services(daemon.tables, daemon.services);
+    control_node_settings settings;
+    settings.name = daemon.address;
+    settings.peers = seed_peers(daemon.settings);
+    settings.folder = daemon.settings.data_folder + "/control";
+    settings.snapshot_bytes = snapshot_bytes;
+    settings.consensus.heartbeat = heartbeat;
+    settings.consensus.election_timeout_min = election_timeout_min;
+    settings.consensus.election_timeout_max = election_timeout_max;
+    settings.consensus.kept_bytes = kept_bytes;
+    settings.consensus.open_membership = true;
+    settings.consensus.may_form = daemon.settings.first_start;
+    settings.consensus.lease_reads = false;
+    auto opened = open_control_node(settings, posix_file_layer(), daemon.tables, random_seed(),
+                                    daemon_now(daemon));
+    if (!opened) {
+        log_event(events::replica_failed, {{"error", describe(opened.error())}});
+        daemon.reopen_at = daemon_now(daemon) + reopen_period;
+        return;
+    }
+    daemon.node = std::move(opened).value();
+    log_event(events::replica_recovered, {{"replica", daemon.address},
+                                          {"applied", daemon.tables.applied},
+                                          {"last", last_index(daemon.node->core)},
+                                          {"torn_bytes", daemon.node->torn_bytes},
+                                          {"version", daemon.services.current.version}});
+}
+
+bool leads(registrar_daemon const& daemon) {
+    return daemon.node && daemon.node->core.role == replica_role::leader;
+}
+
+// Whether this replica's configuration is certainly the newest, as far as that can be told without
+// a round of messages.
+bool is_confirmed(registrar_daemon const& daemon) {
+    if (!daemon.node) {
+        return false;
+    }
+    auto const& core = daemon.node->core;
+    auto const at = daemon_now(daemon);
+    if (core.role == replica_role::leader) {
+        return lease_holds(core, at);
+    }
+    return !core.leader.empty() && at - core.heard_from_leader < leader_contact_life &&
+           daemon.tables.applied >= core.commit;
+}
+
+publisher_context context_of(registrar_daemon const& daemon) {
+    return {&daemon.directory, daemon.services.current.version, is_confirmed(daemon)};
+}
+
+void push_updates(registrar_daemon& daemon) {
+    auto const context = context_of(daemon);
+    for (auto const& [address, state] : daemon.publisher.subscribers) {
+        daemon.link->send(address, update_type,
+                          serialize(update_for(daemon.publisher, address, context)));
+    }
+}
+
+void answer_operator(registrar_daemon& daemon, control_node_reply const& reply) {
+    auto const found = daemon.operator_calls.find(reply.request);
+    if (found == daemon.operator_calls.end()) {
+        return;
+    }
+    auto const call = std::move(found->second);
+    daemon.operator_calls.erase(found);
+    if (!reply.outcome) {
+        log_bounded(daemon.loop, events::change_refused,
+                    {{"version", call.version},
+                     {"reason", describe(reply.outcome.error())},
+                     {"fetch", call.fetch}});
+        call.writer->send(unavailable, {}, {});
+        return;
+    }
+    if (!call.fetch) {
+        auto const outcome = parse_install_reply(reply.outcome.value());
+        log_bounded(daemon.loop, events::change_committed,
+                    {{"version", call.version},
+                     {"in_force", outcome ? outcome.value().version : 0},
+                     {"index", reply.index},
+                     {"term", reply.term},
+                     {"took_ms", in_millis(daemon_now(daemon) - call.since)}});
+        send_json(*call.writer, ok_status, empty_object);
+        return;
+    }
+    auto body = parse_configuration(reply.outcome.value());
+    if (!body || body.value().version == 0) {
+        call.writer->send(unavailable, {}, {});
+        return;
+    }
+    send_json(*call.writer, ok_status, std::move(body.value().content));
+}
+
+void note_changes(registrar_daemon& daemon) {
+    auto const& leader = leader_of(*daemon.node);
+    if (leader != daemon.last_leader) {
+        daemon.last_leader = leader;
+        log_event(events::leader_changed,
+                  {{"leader", leader}, {"term", daemon.node->core.hard.term}});
+    }
+    auto const& members = members_of(daemon.node->core);
+    if (members != daemon.last_members) {
+        daemon.last_members = members;
+        std::string text;
+        for (auto const& one : members) {
+            text += one.name + (one.voter ? " " : "(learner) ");
+        }
+        log_event(events::replica_member_changed, {{"members", text}});
+    }
+    if (daemon.services.current.version != daemon.last_version) {
+        log_event(events::configuration_in_force,
+                  {{"version", daemon.services.current.version},
+                   {"before", daemon.last_version},
+                   {"from", "log"},
+                   {"bytes", daemon.services.current.content.size()}});
+        daemon.last_version = daemon.services.current.version;
+        push_updates(daemon);
+    }
+}
+
+void flush_replica(registrar_daemon& daemon) {
+    daemon.flush_posted = false;
+    if (!daemon.node) {
+        return;
+    }
+    auto const output = flush(*daemon.node, daemon_now(daemon));
+    for (auto const& message : output.messages) {
+        daemon.link->send(message.to, consensus_message_type, serialize_message(message));
+    }
+    for (auto const& reply : output.replies) {
+        answer_operator(daemon, reply);
+    }
+    note_changes(daemon);
+    if (output.stopped) {
+        log_event(events::replica_failed, {{"error", describe(*output.stopped)}});
+        daemon.node.reset();
+        daemon.reopen_at = daemon_now(daemon) + reopen_period;
+    }
+}
+
+// Several messages that arrived together share one sync.
+void post_flush(registrar_daemon& daemon) {
+    if (!daemon.flush_posted) {
+        daemon.flush_posted = true;
+        net::post(daemon.loop.context, [&daemon] { flush_replica(daemon); });
+    }
+}
+
+void remove_superfluous_voter(registrar_daemon& daemon) {
+    auto const at = daemon_now(daemon);
+    auto const lost = superfluous_voter(daemon.node->core, voter_silence, at);
+    if (!lost) {
+        return;
+    }
+    // A refusal means that another change is under way; the next tick tries again.
+    if (change_member(*daemon.node, ++daemon.last_request, *lost, true, at)) {
+        log_event(events::replica_member_changed, {{"removing", lost->name}});
+    }
+}
+
+void tick_replica(registrar_daemon& daemon) {
+    auto const at = daemon_now(daemon);
+    if (!daemon.node) {
+        if (at >= daemon.reopen_at) {
+            open_replica(daemon);
+        }
+        return;
+    }
+    auto& contacts = daemon.node->core.contacts;
+    contacts.clear();
+    for (auto const& [address, contact] : daemon.subscriber.registrars) {
+        contacts.push_back(address);
+    }
+    tick(*daemon.node, at);
+    remove_superfluous_voter(daemon);
+    post_flush(daemon);
+}
+
+// --- the operator ------------------------------------------------------------------------------
+
+void redirect_to_leader(registrar_daemon& daemon, incoming_request const& request,
+                        answer_writer& writer) {
+    auto const leader = daemon.node ? leader_of(*daemon.node) : std::string{};
+    if (leader.empty() || leader == daemon.address) {
+        writer.send(unavailable, {}, {});
+        return;
+    }
+    writer.send(temporary_redirect,
+                {{"Location", platform::redirect_location(control_address(daemon, leader),
+                                                          request.head.target)}},
+                {});
+}
+
+void replace_configuration(registrar_daemon& daemon, incoming_request const& request,
+                           std::shared_ptr<answer_writer> const& writer) {
+    auto decoded = platform::decode_configuration(request.body);
+    auto const checked = decoded ? index_config(decoded.value()) : ok();
+    if (!decoded || !checked) {
+        auto const& reason = decoded ? checked.error() : decoded.error();
+        log_bounded(
+            daemon.loop, events::change_refused,
+            {{"version", decoded ? decoded.value().version : 0}, {"reason", describe(reason)}});
+        send_json(*writer, bad_request, "{\"error\":" + json_quote(describe(reason)) + "}");
+        return;
+    }
+    auto const version = decoded.value().version;
+    // A committed version that is not lower settles the call on any replica.
+    if (version <= daemon.services.current.version) {
+        log_bounded(daemon.loop, events::change_committed,
+                    {{"version", version}, {"in_force", daemon.services.current.version}});
+        send_json(*writer, ok_status, empty_object);
+        return;
+    }
+    if (!leads(daemon)) {
+        redirect_to_leader(daemon, request, *writer);
+        return;
+    }
+    auto const number = ++daemon.last_request;
+    auto const submitted =
+        submit(*daemon.node, number,
+               {service_table_kind, serialize(configuration_body{version, request.body}),
+                wall_now(daemon.loop.clock)});
+    if (!submitted) {
+        log_bounded(daemon.loop, events::change_refused,
+                    {{"version", version}, {"reason", describe(submitted.error())}});
+        writer->send(unavailable, {}, {});
+        return;
+    }
+    daemon.operator_calls[number] = {writer, false, version, daemon_now(daemon)};
+    post_flush(daemon);
+}
+
+void fetch_configuration(registrar_daemon& daemon, incoming_request const& request,
+                         std::shared_ptr<answer_writer> const& writer) {
+    if (!leads(daemon)) {
+        redirect_to_leader(daemon, request, *writer);
+        return;
+    }
+    auto const number = ++daemon.last_request;
+    if (!read(*daemon.node, number, service_table_kind, {}, daemon_now(daemon))) {
+        writer->send(unavailable, {}, {});
+        return;
+    }
+    daemon.operator_calls[number] = {writer, true, 0, daemon_now(daemon)};
+    post_flush(daemon);
+}
+
+void end_old_operator_calls(registrar_daemon& daemon) {
+    auto const at = daemon_now(daemon);
+    std::vector<std::uint64_t> old;
+    for (auto const& [number, call] : daemon.operator_calls) {
+        if (at - call.since > operator_patience) {
+            old.push_back(number);
+        }
+    }
+    for (auto const number : old) {
+        auto const call = std::move(daemon.operator_calls.at(number));
+        daemon.operator_calls.erase(number);
+        log_bounded(daemon.loop, events::change_refused,
+                    {{"version", call.version},
+                     {"reason", "no majority in time; the outcome is open"},
+                     {"fetch", call.fetch}});
+        call.writer->send(unavailable, {}, {});
+    }
+}
+
+// --- targets -----------------------------------------------------------------------------------
+
+std::vector<std::string> voters(registrar_daemon const& daemon) {
+    std::vector<std::string> names;
+    if (daemon.node) {
+        for (auto const& one : members_of(daemon.node->core)) {
+            if (one.voter) {
+                names.push_back(one.name);
+            }
+        }
+    }
+    return names;
+}
+
+void advance_departures(registrar_daemon& daemon) {
+    auto const actions = advance(daemon.departures, voters(daemon), {}, daemon_now(daemon));
+    for (auto const& [member, number] : actions.notices) {
+        if (member != daemon.address) {
+            auto const& target = daemon.departures.pending.at(number).target;
+            daemon.link->send(member, departure_type, serialize(departure_notice{number, target}));
+        }
+    }
+    auto const end = [&](std::uint64_t number, unsigned status) {
+        auto const writer = daemon.departing.extract(number);
+        if (!writer.empty()) {
+            send_json(*writer.mapped(), status, empty_object);
+        }
+        log_bounded(daemon.loop, events::departure_settled,
+                    {{"departure", number}, {"acknowledged", status == ok_status}});
+    };
+    for (auto const number : actions.acknowledged) {
+        end(number, ok_status);
+    }
+    for (auto const number : actions.failed) {
+        end(number, unavailable);
+    }
+}
+
+void begin_departing(registrar_daemon& daemon, target_announcement const& target,
+                     std::shared_ptr<answer_writer> writer) {
+    auto const number =
+        begin_departure(daemon.departures, daemon.address, target, {}, daemon_now(daemon));
+    daemon.departing[number] = std::move(writer);
+    advance_departures(daemon);
+}
+
+void log_target(registrar_daemon& daemon, target_announcement const& said, char const* from) {
+    log_bounded(daemon.loop, events::target_changed,
+                {{"target", said.id},
+                 {"service", said.service},
+                 {"address", said.address},
+                 {"condition", static_cast<int>(said.condition)},
+                 {"sequence", said.sequence},
+                 {"born", said.born.time_since_epoch().count()},
+                 {"from", from}});
+}
+
+void take_heartbeat(registrar_daemon& daemon, std::string const& id,
+                    incoming_request const& request, std::shared_ptr<answer_writer> const& writer) {
+    auto const said = platform::decode_heartbeat(id, request.body);
+    if (!said || !parse_endpoint(said->address)) {
+        log_bounded(daemon.loop, events::message_malformed,
+                    {{"type", "heartbeat"}, {"sender", request.remote}});
+        writer->send(bad_request, {}, {});
+        return;
+    }
+    bool const urgent =
+        take_announcement(daemon.directory, *said, announcement_source::target, daemon_now(daemon));
+    if (urgent) {
+        log_target(daemon, *said, "target");
+        push_updates(daemon);
+    }
+    if (said->condition == target_condition::ready) {
+        send_json(*writer, ok_status, empty_object);
+        return;
+    }
+    begin_departing(daemon, *said, writer);
+}
+
+void take_deregistration(registrar_daemon& daemon, std::string const& id,
+                         incoming_request const& request,
+                         std::shared_ptr<answer_writer> const& writer) {
+    auto const gone = take_departure(daemon.directory, id, platform::decode_departure(request.body),
+                                     wall_now(daemon.loop.clock), daemon_now(daemon));
+    log_target(daemon, gone, "target");
+    push_updates(daemon);
+    begin_departing(daemon, gone, writer);
+}
+
+void serve_control(registrar_daemon& daemon, incoming_request const& request,
+                   std::shared_ptr<answer_writer> const& writer) {
+    auto const call = platform::decode_registrar_call(request.head.method, request.head.target);
+    switch (call.kind) {
+    case platform::registrar_call_kind::heartbeat:
+        take_heartbeat(daemon, call.target_id, request, writer);
+        return;
+    case platform::registrar_call_kind::departure:
+        take_deregistration(daemon, call.target_id, request, writer);
+        return;
+    case platform::registrar_call_kind::replace_configuration:
+        replace_configuration(daemon, request, writer);
+        return;
+    case platform::registrar_call_kind::fetch_configuration:
+        fetch_configuration(daemon, request, writer);
+        return;
+    case platform::registrar_call_kind::unknown:
+        writer->send(not_found, {}, {});
+    }
+}
+
+// --- our own processes -------------------------------------------------------------------------
+
+void on_beat(registrar_daemon& daemon, directory_beat const& beat) {
+    auto const at = daemon_now(daemon);
+    for (auto const& address : beat.registrars) {
+        if (!daemon.subscriber.registrars.contains(address)) {
+            daemon.subscriber.registrars[address].learned_at = at;
+        }
+    }
+    bool const changed = take_beat(daemon.publisher, beat, at);
+    if (changed) {
+        push_updates(daemon);
+        return;
+    }
+    daemon.link->send(
+        beat.self.address, update_type,
+        serialize(update_for(daemon.publisher, beat.self.address, context_of(daemon))));
+}
+
+void on_update(registrar_daemon& daemon, std::string const& from, directory_update const& update) {
+    auto const at = daemon_now(daemon);
+    take_update(daemon.subscriber, from, update, at);
+    bool urgent = false;
+    for (auto const& said : update.targets) {
+        urgent = take_announcement(daemon.directory, said, announcement_source::peer, at) || urgent;
+    }
+    if (urgent) {
+        push_updates(daemon);
+    }
+}
+
+void on_departure(registrar_daemon& daemon, std::string const& from,
+                  departure_notice const& notice) {
+    if (take_announcement(daemon.directory, notice.target, announcement_source::peer,
+                          daemon_now(daemon))) {
+        log_target(daemon, notice.target, from.c_str());
+        push_updates(daemon);
+    }
+    daemon.link->send(from, departure_recorded_type, serialize_recorded(notice.number));
+}
+
+void on_recorded(registrar_daemon& daemon, std::string const& from, std::uint64_t number) {
+    auto const found = daemon.departures.pending.find(number);
+    if (found != daemon.departures.pending.end()) {
+        found->second.recorded.insert(from);
+        advance_departures(daemon);
+    }
+}
+
+void on_configuration_request(registrar_daemon& daemon, std::string const& from,
+                              std::uint64_t above) {
+    if (daemon.services.current.version > above) {
+        daemon.link->send(from, configuration_body_type, serialize(daemon.services.current));
+    }
+}
+
+bool dispatch(registrar_daemon& daemon, peer_message const& message) {
+    if (message.type == consensus_message_type) {
+        bool const parsed =
+            !daemon.node || receive_bytes(*daemon.node, message.body, daemon_now(daemon));
+        post_flush(daemon);
+        return parsed;
+    }
+    if (message.type == beat_type) {
+        auto const beat = parse_beat(message.body);
+        return beat && (on_beat(daemon, beat.value()), true);
+    }
+    if (message.type == update_type) {
+        auto const update = parse_update(message.body);
+        return update && (on_update(daemon, message.sender, update.value()), true);
+    }
+    if (message.type == departure_type) {
+        auto const notice = parse_departure(message.body);
+        return notice && (on_departure(daemon, message.sender, notice.value()), true);
+    }
+    if (message.type == departure_recorded_type) {
+        auto const number = parse_recorded(message.body);
+        return number && (on_recorded(daemon, message.sender, number.value()), true);
+    }
+    if (message.type == configuration_request_type) {
+        auto const above = parse_configuration_request(message.body);
+        return above && (on_configuration_request(daemon, message.sender, above.value()), true);
+    }
+    return false;
+}
+
+void on_message(registrar_daemon& daemon, peer_message const& message) {
+    if (!dispatch(daemon, message)) {
+        log_bounded(daemon.loop, events::message_malformed,
+                    {{"type", message.type}, {"sender", message.sender}});
+    }
+}
+
+// --- the process -------------------------------------------------------------------------------
+
+void reload(registrar_daemon& daemon) {
+    auto fresh = daemon.read_settings();
+    if (!fresh) {
+        log_event(events::settings_refused, {{"error", describe(fresh.error())}});
+        return;
+    }
+    daemon.settings.seeds = fresh.value().seeds;
+    configure_registrars(daemon.subscriber, seed_peers(daemon.settings), daemon_now(daemon));
+    log_event(events::settings_reloaded, {{"seeds", daemon.settings.seeds.size()}});
+}
+
+void begin_stop(registrar_daemon& daemon) {
+    if (daemon.stopping) {
+        return;
+    }
+    daemon.stopping = true;
+    log_event(events::process_stopping, {{"in_flight", daemon.operator_calls.size()}});
+    daemon.control->stop_accepting();
+    daemon.control->close_after_answers();
+    run_after(daemon.loop, stop_delay, [&daemon] { daemon.loop.context.stop(); });
+}
+
+void send_beats(registrar_daemon& daemon) {
+    for (auto const& beat : due_beats(daemon.subscriber, false, daemon_now(daemon))) {
+        daemon.link->send(beat.to, beat_type, serialize(beat.message));
+    }
+}
+
+void start_periodic_work(registrar_daemon& daemon) {
+    run_every(daemon.loop, tick_period, [&daemon] {
+        daemon.link->tick();
+        tick_replica(daemon);
+        send_beats(daemon);
+        advance_departures(daemon);
+        if (drop_silent(daemon.publisher, daemon_now(daemon))) {
+            push_updates(daemon);
+        }
+        return true;
+    });
+    run_every(daemon.loop, slow_period, [&daemon] {
+        forget_old(daemon.directory, {}, daemon_now(daemon));
+        end_old_operator_calls(daemon);
+        daemon.control->sweep();
+        daemon.metrics_listener->sweep();
+        set_gauge(*daemon.metrics, "fireflycrank_targets_known", "",
+                  static_cast<double>(daemon.directory.targets.size()));
+        set_gauge(*daemon.metrics, "fireflycrank_configuration_version", "",
+                  static_cast<double>(daemon.services.current.version));
+        set_gauge(*daemon.metrics, "fireflycrank_leads", "", leads(daemon) ? 1 : 0);
+        return true;
+    });
+}
+
+result<void> open_listeners(registrar_daemon& daemon) {
+    auto& context = daemon.loop.context;
+    BOOST_OUTCOME_TRY(
+        link, peer_link::open(context, daemon.address,
+                              [&daemon](peer_message message) { on_message(daemon, message); }));
+    daemon.link = link;
+    BOOST_OUTCOME_TRY(
+        control, http_listener::open(context, daemon.settings.listen.control, daemon.loop.clock,
+                                     [&daemon](incoming_request const& request,
+                                               std::shared_ptr<answer_writer> const& out) {
+                                         serve_control(daemon, request, out);
+                                     }));
+    daemon.control = control;
+    listener_limits limits;
+    limits.body_bytes = max_operator_body;
+    daemon.control->limits(limits);
+    BOOST_OUTCOME_TRY(metrics, open_metrics(daemon.loop, daemon.settings, daemon.metrics));
+    daemon.metrics_listener = metrics;
+    return ok();
+}
+
+} // namespace
+
+result<void> run_registrar(settings_source const& read_settings, std::string const& settings_path) {
+    BOOST_OUTCOME_TRY(settings, read_settings());
+    registrar_daemon daemon{std::move(settings)};
+    daemon.read_settings = read_settings;
+    daemon.address = peer_address(daemon.settings, daemon.settings.ip);
+    daemon.run = static_cast<std::uint64_t>(wall_now(daemon.loop.clock).time_since_epoch().count());
+    daemon.publisher.address = daemon.address;
+    daemon.publisher.run = daemon.run;
+    daemon.subscriber.self.address = daemon.address;
+    daemon.subscriber.self.role = daemon_role::registrar;
+    daemon.subscriber.self.zone = daemon.settings.zone;
+    daemon.subscriber.self.started = daemon.run;
+    configure_registrars(daemon.subscriber, seed_peers(daemon.settings), daemon_now(daemon));
+    open_replica(daemon);
+    BOOST_OUTCOME_TRYV(open_listeners(daemon));
+    handle_signals(
+        daemon.loop, [&daemon] { begin_stop(daemon); }, [&daemon] { reload(daemon); });
+    watch_file(daemon.loop, settings_path, [&daemon] { reload(daemon); });
+    start_periodic_work(daemon);
+    log_event(
+        events::process_started,
+        {{"role", "registrar"}, {"process", daemon.settings.name}, {"incarnation", daemon.run}});
+    daemon.loop.context.run();
+    log_event(events::process_stopped, {});
+    return ok();
+}
+
+} // namespace fireflycrank
--- /dev/null
+++ b/src/retryledger.cpp
@@ -0,0 +1,49 @@
+#include "retryledger.h"
+
+#include <algorithm>
+
+namespace fireflycrank {
+
+namespace {
+
+constexpr int buckets_per_window = 20;
+// Part of the allowance and of the ratio that is used: gateways may start or be counted late.
+constexpr double used_share = 0.85;
+
+retry_ledger::bucket& current(retry_ledger& ledger, retry_bound const& bound, time_point now) {
+    auto const width = bound.window / buckets_per_window;
+    if (ledger.buckets.empty() || now - ledger.buckets.back().begins >= width) {
+        ledger.buckets.push_back({now, 0, 0});
+    }
+    // One bucket more than the window: the oldest one may still reach into it.
+    while (now - ledger.buckets.front().begins > bound.window + width) {
+        ledger.buckets.pop_front();
+    }
+    return ledger.buckets.back();
+}
+
+} // namespace
+
+void count_request(retry_ledger& ledger, retry_bound const& bound, time_point now) {
+    ++current(ledger, bound, now).requests;
+}
+
+bool take_repeat(retry_ledger& ledger, retry_bound const& bound, std::uint64_t gateways,
+                 time_point now) {
+    auto& present = current(ledger, bound, now);
+    double requests = 0;
+    double repeats = 0;
+    for (auto const& one : ledger.buckets) {
+        // Requests of the oldest bucket may already be outside the window; its repeats may not.
+        requests += now - one.begins <= bound.window ? static_cast<double>(one.requests) : 0.0;
+        repeats += static_cast<double>(one.repeats);
+    }
+    auto const shared = bound.allowance / static_cast<double>(std::max<std::uint64_t>(gateways, 1));
+    if (repeats + 1 > used_share * (bound.ratio * requests + shared)) {
+        return false;
+    }
+    ++present.repeats;
+    return true;
+}
+
+} // namespace fireflycrank
--- /dev/null
+++ b/src/targetchoice.cpp
@@ -0,0 +1,95 @@
+#include "targetchoice.h"
+
+#include <algorithm>
+
+namespace fireflycrank {
+
+namespace {
+
+bool is_excluded(std::vector<std::string> const& tried, std::string const& id) {
+    return std::find(tried.begin(), tried.end(), id) != tried.end();
+}
+
+// Lower is better: sound targets first, then avoided ones, then those that are probably gone.
+int doubt(target_view const& view, choice_settings const& settings, time_point now) {
+    bool const group_closed =
+        view.group && !view.group->open && now - view.group->reported_at < settings.report_life;
+    if (now - view.heard_at > settings.silent_after || !view.answering) {
+        return 2;
+    }
+    return now < view.avoid_until || group_closed ? 1 : 0;
+}
+
+struct scored_target {
+    target_view const* view{nullptr};
+    int doubt{0};
+    double load{0};
+    double cost{0};
+};
+
+} // namespace
+
+double estimated_load(target_view const& view, choice_settings const& settings, time_point now) {
+    auto const own = static_cast<double>(view.own_running);
+    if (!view.load || now - view.load->taken_at > settings.report_life) {
+        return own;
+    }
+    auto const reported = static_cast<double>(view.load->running + view.load->waiting);
+    return std::max(own, reported + own - static_cast<double>(view.load->own_then));
+}
+
+target_choice choose_target(std::map<std::string, target_view> const& targets,
+                            std::string const& service, std::string const& zone,
+                            std::vector<std::string> const& tried, choice_settings const& settings,
+                            rng& random, time_point now) {
+    std::vector<scored_target> scored;
+    for (auto const& [id, view] : targets) {
+        if (view.said.service != service || view.said.condition != target_condition::ready ||
+            is_excluded(tried, id)) {
+            continue;
+        }
+        scored_target one{&view, doubt(view, settings, now), estimated_load(view, settings, now),
+                          0};
+        auto const slots = std::max(1.0, static_cast<double>(view.said.slots));
+        auto const pace = view.load ? std::max(1.0, view.load->pace) : 1.0;
+        one.cost = (one.load + (view.said.zone == zone ? 0.0 : settings.other_zone)) * pace / slots;
+        scored.push_back(one);
+    }
+    target_choice choice;
+    choice.candidates = static_cast<unsigned>(scored.size());
+    if (scored.empty()) {
+        return choice;
+    }
+    auto const best = std::min_element(
+        scored.begin(), scored.end(), [](scored_target const& left, scored_target const& right) {
+            return left.doubt != right.doubt ? left.doubt < right.doubt : left.cost < right.cost;
+        });
+    auto const slots = std::max(1.0, static_cast<double>(best->view->said.slots));
+    auto const bound = best->cost + settings.equal_margin / slots;
+    std::vector<scored_target const*> equal;
+    for (auto const& one : scored) {
+        if (one.doubt == best->doubt && one.cost <= bound) {
+            equal.push_back(&one);
+        }
+    }
+    auto const& chosen = *equal[next_below(random, equal.size())];
+    choice.id = chosen.view->said.id;
+    choice.load = chosen.load;
+    choice.slots = chosen.view->said.slots;
+    choice.report_age = chosen.view->load ? now - chosen.view->load->taken_at : duration{-1};
+    return choice;
+}
+
+void note_failure(target_view& view, choice_settings const& settings, time_point now) {
+    constexpr unsigned most_doublings = 6;
+    auto const pause = settings.first_pause * (1U << std::min(view.failures, most_doublings));
+    ++view.failures;
+    view.avoid_until = now + std::min(pause, settings.longest_pause);
+}
+
+void note_success(target_view& view) {
+    view.failures = 0;
+    view.avoid_until = {};
+}
+
+} // namespace fireflycrank
--- /dev/null
+++ b/src/targetchoice.h
@@ -0,0 +1,102 @@
+/// @file
+/// Which target takes a request, seen from one gateway: reports that are some time old, corrected
+/// by the gateway's own sends since then. Pure.
+#pragma once
+
+#include "clock.h"
+#include "rng.h"
+#include "targetdirectory.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fireflycrank {
+
+/// The newest report about a target's load.
+struct load_sample {
+    time_point taken_at{};
+    unsigned running{0};
+    unsigned waiting{0};
+    unsigned own_then{0}; ///< this gateway's unfinished requests there when the report was taken
+    double pace{1.0};     ///< over 1 when the target is slow
+};
+
+/// A target's place in a group that works in lock-step.
+struct group_place {
+    std::string name;
+    std::uint64_t epoch{0};
+    unsigned rank{0};
+    bool open{true};
+    time_point reported_at{};
+};
+
+/// What one gateway knows of a target beyond its announcement.
+struct target_view {
+    target_announcement said;
+    time_point heard_at{};
+    unsigned own_running{0}; ///< requests of this gateway that it has not finished
+    std::optional<load_sample> load;
+    std::optional<group_place> group;
+    unsigned failures{0};     ///< in a row
+    time_point avoid_until{}; ///< after failures
+    bool answering{true};     ///< false: its agent gets no answer from it
+};
+
+/// Weights and times of the choice.
+struct choice_settings {
+    /// A target that was not heard for this long is used only when no other is left. Three
+    /// announcement periods and the seconds by which one may be late.
+    duration silent_after{std::chrono::seconds{5}};
+    /// Reports older than this no longer count.
+    duration report_life{std::chrono::seconds{2}};
+    /// First pause after a failure; doubled with each further one.
+    duration first_pause{std::chrono::milliseconds{200}};
+    duration longest_pause{std::chrono::seconds{3}};
+    double other_zone{0.3};    ///< in requests: bytes between zones cost more
+    double equal_margin{0.75}; ///< loads this close count as equal, so that gateways do not herd
+};
+
+/// The outcome of a choice.
+struct target_choice {
+    std::string id; ///< empty when there is no target
+    double load{0}; ///< estimated requests there, running and waiting
+    unsigned slots{0};
+    unsigned candidates{0}; ///< targets that could be used
+    duration report_age{};  ///< of the report behind `load`; negative without one
+};
+
+/// Estimates the requests that a target has now.
+/// @param view the target
+/// @param settings the times
+/// @param now the time
+/// @return running and waiting requests
+double estimated_load(target_view const& view, choice_settings const& settings, time_point now);
+
+/// Chooses the target with the least load for its slots.
+/// @param targets all targets by id
+/// @param service the service
+/// @param zone this gateway's availability zone
+/// @param tried targets that the request was already sent to
+/// @param settings weights and times
+/// @param random breaks ties
+/// @param now the time
+/// @return the choice
+target_choice choose_target(std::map<std::string, target_view> const& targets,
+                            std::string const& service, std::string const& zone,
+                            std::vector<std::string> const& tried, choice_settings const& settings,
+                            rng& random, time_point now);
+
+/// Notes that a target failed to serve; it is avoided for a growing pause.
+/// @param view the target
+/// @param settings the pauses
+/// @param now the time
+void note_failure(target_view& view, choice_settings const& settings, time_point now);
+
+/// Notes that a target served.
+/// @param view the target
+void note_success(target_view& view);
+
+} // namespace fireflycrank
--- /dev/null
+++ b/tests/gateway_http_test.cpp
@@ -0,0 +1,99 @@
+// The incremental HTTP reader: what it accepts, what it refuses, and where a message ends.
+#include "httpmessage.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace fireflycrank {
+
+namespace {
+
+message_reader response_reader() {
+    return {http_kind::response, 8192, 0};
+}
+
+message_reader request_reader() {
+    return {http_kind::request, 1024, 64};
+}
+
+} // namespace
+
+// Without a body limit, Beast 1.74 refused every answer that has a Content-Length.
+TEST_CASE("an answer with a length is read without a body limit") {
+    auto reader = response_reader();
+    CHECK(reader.put("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel") == read_fault::none);
+    CHECK_FALSE(reader.complete());
+    CHECK(reader.put("lo") == read_fault::none);
+    CHECK(reader.complete());
+    CHECK(reader.take_body() == "hello");
+    CHECK(reader.keep_alive());
+}
+
+TEST_CASE("every split of a chunked answer gives the same body") {
+    std::string const bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                              "5\r\nhello\r\n6;x=y\r\n world\r\n0\r\n\r\n";
+    for (std::size_t cut = 1; cut < bytes.size(); ++cut) {
+        auto reader = response_reader();
+        REQUIRE(reader.put(bytes.substr(0, cut)) == read_fault::none);
+        REQUIRE(reader.put(bytes.substr(cut)) == read_fault::none);
+        REQUIRE(reader.complete());
+        CHECK(reader.take_body() == "hello world");
+    }
+}
+
+TEST_CASE("an answer that ends early is truncated, one without a length ends with its connection") {
+    auto cut = response_reader();
+    CHECK(cut.put("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel") == read_fault::none);
+    CHECK(cut.put_eof() == read_fault::truncated);
+    auto chunked = response_reader();
+    CHECK(chunked.put("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel") ==
+          read_fault::none);
+    CHECK(chunked.put_eof() == read_fault::truncated);
+    auto unframed = response_reader();
+    CHECK(unframed.put("HTTP/1.1 200 OK\r\n\r\nhel") == read_fault::none);
+    CHECK(unframed.ends_with_connection());
+    CHECK_FALSE(unframed.complete());
+    CHECK(unframed.put_eof() == read_fault::none);
+    CHECK(unframed.complete());
+}
+
+TEST_CASE("what follows a complete message is kept apart") {
+    auto reader = request_reader();
+    CHECK(reader.put("GET /a/ HTTP/1.1\r\nHost: h\r\n\r\nGET /b/") == read_fault::none);
+    CHECK(reader.complete());
+    CHECK(reader.head().target == "/a/");
+    CHECK(reader.take_rest() == "GET /b/");
+}
+
+// A request that two parsers could delimit differently could hide another request inside its body.
+TEST_CASE("requests with two lengths are refused") {
+    auto both = request_reader();
+    CHECK(both.put("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n") == read_fault::malformed);
+    auto twice = request_reader();
+    CHECK(twice.put("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n"
+                    "abcd") == read_fault::malformed);
+}
+
+TEST_CASE("limits of head and body") {
+    auto head = request_reader();
+    CHECK(head.put("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(2000, 'x') + "\r\n\r\n") ==
+          read_fault::header_too_large);
+    auto body = request_reader();
+    CHECK(body.put("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n") ==
+          read_fault::body_too_large);
+    auto chunks = request_reader();
+    CHECK(chunks.put("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" +
+                     std::string(65, 'x') + "\r\n0\r\n\r\n") == read_fault::body_too_large);
+}
+
+TEST_CASE("fields of one connection are recognized, also those that Connection names") {
+    header_list const headers{{"Connection", "close, X-Private"}, {"X-Private", "1"}, {"X", "2"}};
+    CHECK(is_hop_by_hop(headers, "x-private"));
+    CHECK(is_hop_by_hop(headers, "Transfer-Encoding"));
+    CHECK_FALSE(is_hop_by_hop(headers, "X"));
+    CHECK(format_chunk(std::string(26, 'x')).starts_with("1a\r\n"));
+}
+
+} // namespace fireflycrank
