Change expert maps with demand: plan, prepare, hold, arm, release

Cause: with map 0 the most loaded rank had 3.4 times the mean, passes took twice as long, and most streams had a pause over their target at the crest.

The coordinator beside rank 0 plans from the counts of the last second, and releases a held pass only when every rank reports that it is armed.

--- a/src/directorywire.cpp
+++ b/src/directorywire.cpp
@@ -74,6 +74,20 @@
     return plain;
 }
 
+void fill(wire::RankExperts& wired, rank_experts const& plain) {
+    for (auto const& set : plain) {
+        wired.add_sets()->mutable_experts()->Add(set.begin(), set.end());
+    }
+}
+
+rank_experts plain_of(wire::RankExperts const& wired) {
+    rank_experts plain;
+    for (auto const& set : wired.sets()) {
+        plain.emplace_back(set.experts().begin(), set.experts().end());
+    }
+    return plain;
+}
+
 } // namespace
 
 std::string serialize(directory_beat const& plain) {
@@ -242,4 +256,90 @@
     return plain;
 }
 
+std::string serialize(rank_status const& plain) {
+    wire::RankStatus wired;
+    wired.set_group(plain.group);
+    wired.set_epoch(plain.epoch);
+    wired.set_rank(plain.rank);
+    wired.set_size(plain.size);
+    wired.set_open(plain.open);
+    wired.set_pass(plain.pass);
+    wired.set_map_version(plain.map_version);
+    wired.set_prepared_version(plain.prepared_version);
+    if (plain.armed) {
+        wired.set_has_armed(true);
+        wired.set_armed_version(plain.armed->version);
+        wired.set_armed_pass(plain.armed->pass);
+    }
+    if (plain.held_pass) {
+        wired.set_has_held(true);
+        wired.set_held_pass(*plain.held_pass);
+    }
+    wired.set_highest_version(plain.highest_version);
+    wired.set_sets(plain.sets);
+    wired.mutable_counts()->Add(plain.counts.begin(), plain.counts.end());
+    if (plain.in_use) {
+        fill(*wired.mutable_in_use(), *plain.in_use);
+    }
+    wired.set_engine_address(plain.engine_address);
+    return wired.SerializeAsString();
+}
+
+result<rank_status> parse_rank_status(std::string_view bytes) {
+    BOOST_OUTCOME_TRY(wired, parse_as<wire::RankStatus>(bytes));
+    rank_status plain;
+    plain.group = wired.group();
+    plain.epoch = wired.epoch();
+    plain.rank = wired.rank();
+    plain.size = wired.size();
+    plain.open = wired.open();
+    plain.pass = wired.pass();
+    plain.map_version = wired.map_version();
+    plain.prepared_version = wired.prepared_version();
+    if (wired.has_armed()) {
+        plain.armed = armed_change{wired.armed_version(), wired.armed_pass()};
+    }
+    if (wired.has_held()) {
+        plain.held_pass = wired.held_pass();
+    }
+    plain.highest_version = wired.highest_version();
+    plain.sets = wired.sets();
+    plain.counts.assign(wired.counts().begin(), wired.counts().end());
+    if (wired.has_in_use()) {
+        plain.in_use = plain_of(wired.in_use());
+    }
+    plain.engine_address = wired.engine_address();
+    return plain;
+}
+
+std::string serialize(rank_instruction const& plain) {
+    wire::RankInstruction wired;
+    wired.set_group(plain.group);
+    wired.set_epoch(plain.epoch);
+    wired.set_rank(plain.rank);
+    wired.set_operation(static_cast<std::uint32_t>(plain.operation));
+    wired.set_version(plain.version);
+    wired.set_pass(plain.pass);
+    for (auto const& rank : plain.map) {
+        fill(*wired.add_map(), rank);
+    }
+    return wired.SerializeAsString();
+}
+
+result<rank_instruction> parse_rank_instruction(std::string_view bytes) {
+    BOOST_OUTCOME_TRY(wired, parse_as<wire::RankInstruction>(bytes));
+    bool const is_arm = wired.operation() == static_cast<std::uint32_t>(rank_operation::arm);
+    rank_instruction plain;
+    plain.group = wired.group();
+    plain.epoch = wired.epoch();
+    plain.rank = wired.rank();
+    plain.operation = is_arm ? rank_operation::arm : rank_operation::prepare;
+    plain.version = wired.version();
+    plain.pass = wired.pass();
+    for (auto const& rank : wired.map()) {
+        plain.map.push_back(plain_of(rank));
+    }
+    return plain;
+}
+
 } // namespace fireflycrank
--- a/src/directorywire.h
+++ b/src/directorywire.h
@@ -5,6 +5,7 @@
 #include "directorysync.h"
 #include "engineload.h"
 #include "error.h"
+#include "groupswitch.h"
 
 #include <cstdint>
 #include <string>
@@ -21,6 +22,9 @@
 inline constexpr std::string_view configuration_body_type = "dir.config";
 inline constexpr std::string_view engine_load_type = "dir.load";
 
+inline constexpr std::string_view rank_status_type = "dir.rank";
+inline constexpr std::string_view rank_instruction_type = "dir.instruct";
+
 /// A registrar asks the others to record a departure before it is acknowledged.
 struct departure_notice {
     std::uint64_t number{0};
@@ -81,4 +85,14 @@
 /// Parses a load report.
 result<engine_load> parse_engine_load(std::string_view bytes);
 
+/// Serializes a rank's status.
+std::string serialize(rank_status const& plain);
+/// Parses a rank's status.
+result<rank_status> parse_rank_status(std::string_view bytes);
+
+/// Serializes an instruction.
+std::string serialize(rank_instruction const& plain);
+/// Parses an instruction.
+result<rank_instruction> parse_rank_instruction(std::string_view bytes);
+
 } // namespace fireflycrank
--- /dev/null
+++ b/src/engineclient.cpp
@@ -0,0 +1,55 @@
+#include "engineclient.h"
+
+namespace fireflycrank {
+
+namespace {
+
+constexpr std::chrono::milliseconds connect_limit{300};
+constexpr std::chrono::milliseconds max_idle{10'000};
+
+struct pending_call {
+    std::shared_ptr<target_exchange> exchange;
+    engine_answer answer;
+    std::function<void(std::optional<engine_answer>)> done;
+
+    void finish(std::optional<engine_answer> outcome) {
+        if (auto const notify = std::exchange(done, nullptr)) {
+            notify(std::move(outcome));
+        }
+    }
+};
+
+} // namespace
+
+void call_engine(event_loop& loop, target_pool& pool, std::string const& address, std::string bytes,
+                 std::chrono::milliseconds limit,
+                 std::function<void(std::optional<engine_answer>)> done) {
+    auto const call = std::make_shared<pending_call>();
+    call->done = std::move(done);
+    exchange_events events;
+    events.on_head = [call](message_head const& head) {
+        call->answer.status = head.status;
+        return true;
+    };
+    events.on_body = [call](std::string body) {
+        call->answer.body += body;
+        return true;
+    };
+    events.on_end = [call](exchange_end how) {
+        call->exchange.reset();
+        call->finish(how == exchange_end::complete ? std::optional{std::move(call->answer)}
+                                                   : std::nullopt);
+    };
+    call->exchange =
+        pool.start({address, std::move(bytes), false, connect_limit, max_idle}, std::move(events));
+    run_after(loop, limit, [weak = std::weak_ptr{call}] {
+        auto const open = weak.lock();
+        if (open && open->exchange) {
+            open->exchange->cancel();
+            open->exchange.reset();
+            open->finish(std::nullopt);
+        }
+    });
+}
+
+} // namespace fireflycrank
--- /dev/null
+++ b/src/expertplace.h
@@ -0,0 +1,51 @@
+/// @file
+/// Where the experts of a lock-step group go when the ranks that hold an expert share its tokens
+/// evenly. A pass lasts, set by set, as long as its most loaded rank, so the plan lowers the
+/// highest rank load of each set with few copies. (expertplan.h plans for engines with adjustable
+/// shares.)
+#pragma once
+
+#include "enginereport.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace fireflycrank {
+
+/// The experts of a group: by rank, then by set.
+using group_experts = std::vector<rank_experts>;
+
+/// Limits of one change.
+struct place_limits {
+    unsigned places{0};        ///< experts that a rank may hold in a set
+    unsigned spare{0};         ///< experts in a set that one change may add to a rank
+    unsigned copies_a_rank{0}; ///< experts that one change may add to a rank over all sets; each
+                               ///< copy takes link time, and the change waits for the last
+};
+
+/// A plan.
+struct place_plan {
+    group_experts map;
+    double before{0};   ///< highest over mean rank load, averaged over the sets, of the present map
+    double after{0};    ///< the same for the plan
+    unsigned copies{0}; ///< experts that ranks must fetch
+};
+
+/// Demand for each expert by set; only ratios within a set count.
+using expert_demand = std::vector<std::vector<double>>;
+
+/// Plans a change.
+/// @param present the map in use; every expert is on some rank
+/// @param demand demand by set and expert
+/// @param limits what one change may do
+/// @return the best plan found; `map` equals `present` when nothing helps
+place_plan plan_places(group_experts const& present, expert_demand const& demand,
+                       place_limits const& limits);
+
+/// Highest over mean rank load, averaged over the sets that have demand.
+/// @param map a map
+/// @param demand demand by set and expert
+/// @return 1 for perfect balance
+double place_skew(group_experts const& map, expert_demand const& demand);
+
+} // namespace fireflycrank
--- /dev/null
+++ b/src/groupswitch.cpp
@@ -0,0 +1,240 @@
+#include "groupswitch.h"
+
+#include <algorithm>
+
+namespace fireflycrank {
+
+namespace {
+
+void enter(group_coordinator& coordinator, switch_stage stage, time_point now) {
+    coordinator.stage = stage;
+    coordinator.since = now;
+    coordinator.resend_at = now;
+    coordinator.own_resend_at = now;
+}
+
+rank_status const* own_status(group_coordinator const& coordinator) {
+    auto const found = coordinator.ranks.find(0);
+    return found == coordinator.ranks.end() ? nullptr : &found->second.status;
+}
+
+bool all_known(group_coordinator const& coordinator) {
+    auto const* const own = own_status(coordinator);
+    return own != nullptr && own->size > 0 && coordinator.ranks.size() == own->size;
+}
+
+bool all_prepared(group_coordinator const& coordinator, std::uint64_t version) {
+    return all_known(coordinator) &&
+           std::all_of(coordinator.ranks.begin(), coordinator.ranks.end(), [&](auto const& entry) {
+               return entry.second.status.prepared_version == version;
+           });
+}
+
+bool is_armed(rank_status const& status, std::uint64_t version, std::uint64_t pass) {
+    return status.armed && status.armed->version == version && status.armed->pass == pass;
+}
+
+bool all_fresh(group_coordinator const& coordinator, time_point now) {
+    return std::all_of(coordinator.ranks.begin(), coordinator.ranks.end(), [&](auto const& entry) {
+        return now - entry.second.heard_at < coordinator.settings.status_life;
+    });
+}
+
+void instruct(group_coordinator const& coordinator, unsigned rank, rank_operation operation,
+              group_actions& actions) {
+    rank_instruction made{coordinator.group,   coordinator.epoch, rank, operation,
+                          coordinator.version, coordinator.pass,  {}};
+    if (operation == rank_operation::prepare) {
+        made.map = coordinator.map;
+    }
+    actions.instructions.push_back(std::move(made));
+}
+
+void advance_preparing(group_coordinator& coordinator, time_point now, group_actions& actions) {
+    if (all_prepared(coordinator, coordinator.version) && all_fresh(coordinator, now)) {
+        coordinator.pass = own_status(coordinator)->pass + coordinator.settings.lead_passes;
+        coordinator.hold_confirmed = false;
+        enter(coordinator, switch_stage::holding, now);
+        return;
+    }
+    if (now - coordinator.since > coordinator.settings.prepare_limit) {
+        ++coordinator.abandoned;
+        enter(coordinator, switch_stage::idle, now);
+        return;
+    }
+    if (now < coordinator.resend_at) {
+        return;
+    }
+    coordinator.resend_at = now + coordinator.settings.prepare_resend;
+    for (auto const& [rank, known] : coordinator.ranks) {
+        if (known.status.prepared_version != coordinator.version) {
+            instruct(coordinator, rank, rank_operation::prepare, actions);
+        }
+    }
+}
+
+void advance_holding(group_coordinator& coordinator, time_point now, group_actions& actions) {
+    auto const& own = *own_status(coordinator);
+    if (coordinator.hold_confirmed || own.held_pass == coordinator.pass) {
+        enter(coordinator, switch_stage::arming, now);
+        return;
+    }
+    if (own.pass >= coordinator.pass) {
+        // The pass began without a hold. No rank was told to arm for it.
+        coordinator.pass = own.pass + coordinator.settings.lead_passes;
+        coordinator.own_resend_at = now;
+    }
+    if (now >= coordinator.own_resend_at) {
+        coordinator.own_resend_at = now + coordinator.settings.own_resend;
+        actions.hold = coordinator.pass;
+    }
+}
+
+void advance_arming(group_coordinator& coordinator, time_point now, group_actions& actions) {
+    bool all = all_known(coordinator);
+    bool const resend = now >= coordinator.resend_at;
+    for (auto const& [rank, known] : coordinator.ranks) {
+        if (!is_armed(known.status, coordinator.version, coordinator.pass)) {
+            all = false;
+            if (resend) {
+                instruct(coordinator, rank, rank_operation::arm, actions);
+            }
+        }
+    }
+    if (resend) {
+        coordinator.resend_at = now + coordinator.settings.arm_resend;
+    }
+    if (all) {
+        coordinator.last_held = now - coordinator.since;
+        enter(coordinator, switch_stage::releasing, now);
+    }
+}
+
+void advance_releasing(group_coordinator& coordinator, time_point now, group_actions& actions) {
+    auto const& own = *own_status(coordinator);
+    bool const begun = own.pass >= coordinator.pass;
+    // A group without work begins no pass; the change happens with the next one.
+    bool const at_rest = now - coordinator.since > coordinator.settings.status_life;
+    if (!own.held_pass && (begun || at_rest)) {
+        ++coordinator.completed;
+        enter(coordinator, switch_stage::idle, now);
+        return;
+    }
+    if (now >= coordinator.own_resend_at) {
+        coordinator.own_resend_at = now + coordinator.settings.own_resend;
+        actions.release = coordinator.pass;
+    }
+}
+
+// A hold of a former run of this agent. If every rank has one map prepared, ranks may have been
+// told to arm it, also by orders still under way; the change is then completed. Otherwise none was.
+void resume_hold(group_coordinator& coordinator, time_point now) {
+    auto const& own = *own_status(coordinator);
+    if (!all_known(coordinator)) {
+        return;
+    }
+    coordinator.pass = *own.held_pass;
+    coordinator.version = own.prepared_version;
+    bool const may_be_armed = own.prepared_version != 0 &&
+                              own.prepared_version != own.map_version &&
+                              all_prepared(coordinator, own.prepared_version);
+    enter(coordinator, may_be_armed ? switch_stage::arming : switch_stage::releasing, now);
+}
+
+} // namespace
+
+void take_status(group_coordinator& coordinator, rank_status const& status,
+                 std::string const& agent, time_point now) {
+    if (status.group != coordinator.group || status.epoch < coordinator.epoch) {
+        return;
+    }
+    if (status.epoch > coordinator.epoch) {
+        // A new epoch begins with the first map and nothing prepared, armed or held.
+        coordinator.epoch = status.epoch;
+        coordinator.ranks.clear();
+        if (coordinator.stage != switch_stage::idle) {
+            ++coordinator.abandoned;
+        }
+        enter(coordinator, switch_stage::idle, now);
+    }
+    auto& known = coordinator.ranks[status.rank];
+    auto experts = std::move(known.status.in_use);
+    bool const same_map = known.status.map_version == status.map_version;
+    known = {status, now, agent};
+    if (!known.status.in_use && same_map) {
+        known.status.in_use = std::move(experts);
+    }
+}
+
+bool may_begin(group_coordinator const& coordinator, time_point now) {
+    auto const* const own = own_status(coordinator);
+    if (coordinator.stage != switch_stage::idle || !all_known(coordinator) ||
+        !all_fresh(coordinator, now) || own->held_pass) {
+        return false;
+    }
+    return std::all_of(coordinator.ranks.begin(), coordinator.ranks.end(), [&](auto const& entry) {
+        auto const& status = entry.second.status;
+        return status.open && status.in_use && !status.armed &&
+               status.map_version == own->map_version;
+    });
+}
+
+void begin_switch(group_coordinator& coordinator, group_experts map, std::uint64_t above,
+                  time_point now) {
+    std::uint64_t highest = coordinator.version;
+    for (auto const& [rank, known] : coordinator.ranks) {
+        highest = std::max({highest, known.status.highest_version, known.status.map_version,
+                            known.status.prepared_version});
+    }
+    coordinator.version = highest + 1 + above;
+    coordinator.map = std::move(map);
+    enter(coordinator, switch_stage::preparing, now);
+}
+
+void take_hold_answer(group_coordinator& coordinator, std::uint64_t pass, bool held) {
+    if (coordinator.stage == switch_stage::holding && coordinator.pass == pass && held) {
+        coordinator.hold_confirmed = true;
+    }
+}
+
+group_actions advance(group_coordinator& coordinator, time_point now) {
+    group_actions actions;
+    auto const* const own = own_status(coordinator);
+    if (own == nullptr) {
+        return actions;
+    }
+    if (coordinator.stage == switch_stage::idle && own->held_pass) {
+        resume_hold(coordinator, now);
+    }
+    if (coordinator.stage == switch_stage::preparing) {
+        advance_preparing(coordinator, now, actions);
+    }
+    if (coordinator.stage == switch_stage::holding) {
+        advance_holding(coordinator, now, actions);
+    }
+    if (coordinator.stage == switch_stage::arming) {
+        advance_arming(coordinator, now, actions);
+    }
+    if (coordinator.stage == switch_stage::releasing) {
+        advance_releasing(coordinator, now, actions);
+    }
+    return actions;
+}
+
+char const* name_of(switch_stage stage) {
+    switch (stage) {
+    case switch_stage::idle:
+        return "idle";
+    case switch_stage::preparing:
+        return "preparing";
+    case switch_stage::holding:
+        return "holding";
+    case switch_stage::arming:
+        return "arming";
+    case switch_stage::releasing:
+        return "releasing";
+    }
+    return "";
+}
+
+} // namespace fireflycrank
--- /dev/null
+++ b/src/groupswitch.h
@@ -0,0 +1,146 @@
+/// @file
+/// Changes the expert map of a lock-step group whose engines offer prepare, arm, hold and release.
+///
+/// The agent of rank 0 coordinates. It has all ranks prepare the map, holds its own rank before a
+/// pass, has all ranks arm the change for that pass, and releases the pass only when the engine of
+/// every rank reports that it is armed. It never takes an arm back: an order whose answer was lost
+/// may be carried out seconds later, so the only safe way out of a hold is forward. A pass that is
+/// released therefore begins with every rank on the new map, and a pass before it with every rank
+/// on the old one. Pure.
+#pragma once
+
+#include "clock.h"
+#include "enginereport.h"
+#include "expertplace.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fireflycrank {
+
+/// What a rank's agent tells the coordinator.
+struct rank_status {
+    std::string group;
+    std::uint64_t epoch{0};
+    unsigned rank{0};
+    unsigned size{0};
+    bool open{true};
+    std::uint64_t pass{0};
+    std::uint64_t map_version{0};
+    std::uint64_t prepared_version{0};
+    std::optional<armed_change> armed;
+    std::optional<std::uint64_t> held_pass;
+    std::uint64_t highest_version{0}; ///< that the agent has seen or ordered
+    unsigned sets{0};
+    std::vector<std::uint64_t> counts;  ///< choices of experts since the last status
+    std::optional<rank_experts> in_use; ///< of `map_version`
+    std::string engine_address;
+};
+
+enum class rank_operation : std::uint8_t { prepare = 1, arm = 2 };
+
+/// What the coordinator tells a rank's agent to order.
+struct rank_instruction {
+    std::string group;
+    std::uint64_t epoch{0};
+    unsigned rank{0};
+    rank_operation operation{rank_operation::prepare};
+    std::uint64_t version{0};
+    std::uint64_t pass{0}; ///< arm
+    group_experts map;     ///< prepare
+};
+
+enum class switch_stage : std::uint8_t {
+    idle,
+    preparing, ///< ranks copy what they lack
+    holding,   ///< the hold of the own rank is not confirmed yet
+    arming,    ///< the group may stand still until all ranks are armed
+    releasing
+};
+
+/// Times and limits.
+struct group_switch_settings {
+    duration prepare_resend{std::chrono::milliseconds{400}};
+    duration arm_resend{std::chrono::milliseconds{120}};
+    duration own_resend{std::chrono::milliseconds{100}};
+    /// A preparation that takes longer is given up; nothing is held meanwhile.
+    duration prepare_limit{std::chrono::seconds{6}};
+    /// Statuses must be this fresh before a hold: an agent that is down would stop the group.
+    duration status_life{std::chrono::milliseconds{600}};
+    /// Passes between the newest report and the held one. A pass takes about as long as hold, arm
+    /// and release together.
+    std::uint64_t lead_passes{2};
+};
+
+struct known_rank {
+    rank_status status;
+    time_point heard_at{};
+    std::string agent; ///< peer address
+};
+
+/// The coordinator's state.
+struct group_coordinator {
+    std::string group;
+    std::uint64_t epoch{0};
+    group_switch_settings settings;
+    std::map<unsigned, known_rank> ranks;
+    switch_stage stage{switch_stage::idle};
+    std::uint64_t version{0};
+    group_experts map;
+    std::uint64_t pass{0}; ///< held and armed
+    bool hold_confirmed{false};
+    time_point since{}; ///< begin of the stage
+    time_point resend_at{};
+    time_point own_resend_at{};
+    std::uint64_t completed{0};
+    std::uint64_t abandoned{0};
+    duration last_held{}; ///< from arming to release of the last change
+};
+
+/// What the coordinator does next.
+struct group_actions {
+    std::vector<rank_instruction> instructions;
+    std::optional<std::uint64_t> hold;    ///< order the own rank to hold this pass
+    std::optional<std::uint64_t> release; ///< order the own rank to release this pass
+};
+
+/// Takes a rank's status.
+/// @param coordinator the state
+/// @param status the status
+/// @param agent the agent's peer address
+/// @param now the time
+void take_status(group_coordinator& coordinator, rank_status const& status,
+                 std::string const& agent, time_point now);
+
+/// Whether a change may begin: all ranks are known, fresh, in one epoch and on one map.
+/// @param coordinator the state
+/// @param now the time
+/// @return true when begin_switch() may be called
+bool may_begin(group_coordinator const& coordinator, time_point now);
+
+/// Begins a change.
+/// @param coordinator the state
+/// @param map the map to change to
+/// @param above added to the highest known version; random, so that no two plans share a version
+/// @param now the time
+void begin_switch(group_coordinator& coordinator, group_experts map, std::uint64_t above,
+                  time_point now);
+
+/// Notes the answer to an order to hold.
+/// @param coordinator the state
+/// @param pass the pass that was to be held
+/// @param held whether the engine holds it
+void take_hold_answer(group_coordinator& coordinator, std::uint64_t pass, bool held);
+
+/// Decides what to do; called after each status and at a short period.
+/// @param coordinator the state
+/// @param now the time
+/// @return orders and instructions
+group_actions advance(group_coordinator& coordinator, time_point now);
+
+char const* name_of(switch_stage stage);
+
+} // namespace fireflycrank
--- a/src/rankagent.cpp
+++ b/src/rankagent.cpp
@@ -1,14 +1,11 @@
 #include "rankagent.h"
 
-#include "directorysync.h"
 #include "directorywire.h"
+#include "engineclient.h"
 #include "engineload.h"
-#include "enginereport.h"
 #include "peeraddress.h"
-#include "peerlink.h"
 #include "platform/enginecalls.h"
-#include "targetdirectory.h"
-#include "targetpool.h"
+#include "platform/operatorconfig.h"
 
 #include <algorithm>
 
@@ -16,36 +13,17 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds tick_period{50};
 constexpr std::chrono::milliseconds report_period{200};
+constexpr std::chrono::milliseconds counts_period{250};
 constexpr std::chrono::milliseconds sync_period{100};
 constexpr std::chrono::milliseconds slow_period{1'000};
-// The engine is on the same VM.
-constexpr std::chrono::milliseconds connect_limit{300};
-constexpr std::chrono::milliseconds call_limit{700};
-constexpr std::chrono::milliseconds max_idle{10'000};
+// The engine is on the same VM and answers reports at once.
+constexpr std::chrono::milliseconds report_limit{500};
+// Only the coordinator needs the engine's traits, and they hardly change.
+constexpr std::chrono::milliseconds config_period{2'000};
 constexpr unsigned ok_status = 200;
 
-struct rank_agent {
-    explicit rank_agent(vm_settings configured)
-        : settings{std::move(configured)}, pool{loop.context, loop.clock} {}
-
-    event_loop loop;
-    vm_settings settings;
-    settings_source read_settings;
-    std::shared_ptr<peer_link> link;
-    std::shared_ptr<metrics_registry> metrics = make_metrics();
-    std::shared_ptr<http_listener> metrics_listener;
-    target_pool pool;
-    directory_subscriber subscriber;
-    target_directory directory;
-    std::optional<engine_report> report;
-    bool reading{false};
-    time_point reading_since{};
-    std::shared_ptr<target_exchange> exchange;
-    bool answering{true};
-    std::uint64_t reports_sent{0};
-};
-
 // The id under which the engine announced itself from this VM's address.
 std::string target_id(rank_agent const& agent) {
     for (auto const& [id, record] : agent.directory.targets) {
@@ -66,7 +44,7 @@
     load.target_id = id;
     load.born = agent.directory.targets.at(id).said.born;
     load.started = agent.subscriber.self.started;
-    load.number = ++agent.reports_sent;
+    load.number = ++agent.loads_sent;
     load.answering = agent.answering;
     if (agent.report) {
         auto const& report = *agent.report;
@@ -100,6 +78,21 @@
                 {{"dependency", "engine"}, {"address", agent.settings.target_address}});
 }
 
+// Coordinators find the agents of their group, and agents their coordinator, in the directory.
+void announce_place(rank_agent& agent) {
+    auto& self = agent.subscriber.self;
+    auto const& group = agent.report->group;
+    auto const name = group ? agent.settings.target_service + "/" + group->name : std::string{};
+    auto const rank = group ? group->rank : 0;
+    if (self.group != name || self.rank != rank) {
+        self.group = name;
+        self.rank = rank;
+        for (auto const& beat : due_beats(agent.subscriber, true, loop_now(agent.loop))) {
+            agent.link->send(beat.to, beat_type, serialize(beat.message));
+        }
+    }
+}
+
 void take_report(rank_agent& agent, std::string const& body) {
     auto decoded = platform::decode_report(body);
     if (!decoded) {
@@ -107,62 +100,84 @@
                     {{"type", "report"}, {"sender", agent.settings.target_address}});
         return;
     }
+    bool const other_epoch = agent.report && agent.report->group && decoded->group &&
+                             agent.report->group->epoch != decoded->group->epoch;
     agent.report = std::move(*decoded);
-    send_load(agent);
+    agent.reported_at = loop_now(agent.loop);
+    if (other_epoch) {
+        log_bounded(agent.loop, events::group_reformed,
+                    {{"group", agent.report->group->name},
+                     {"epoch", agent.report->group->epoch},
+                     {"open", agent.report->group->open}});
+    }
+    announce_place(agent);
 }
 
-void read_report(rank_agent& agent) {
+void take_config(rank_agent& agent, configuration_body const& body) {
+    if (body.version <= agent.config_version) {
+        return;
+    }
+    auto decoded = platform::decode_configuration(body.content);
+    if (!decoded || !index_config(decoded.value())) {
+        log_bounded(agent.loop, events::configuration_unreadable, {{"version", body.version}});
+        return;
+    }
+    agent.config_version = body.version;
+    auto const* const service = find_service(decoded.value(), agent.settings.target_service);
+    if (service != nullptr) {
+        agent.traits = service->engine;
+    }
+}
+
+void ask_for_config(rank_agent& agent) {
     auto const at = loop_now(agent.loop);
-    if (agent.reading) {
-        if (at - agent.reading_since < call_limit) {
+    if (!agent.coordinator || at - agent.config_asked_at < config_period) {
+        return;
+    }
+    for (auto const& [address, contact] : agent.subscriber.registrars) {
+        if (contact.config_version > agent.config_version) {
+            agent.config_asked_at = at;
+            agent.link->send(address, configuration_request_type,
+                             serialize_configuration_request(agent.config_version));
             return;
         }
-        agent.exchange->cancel();
-        note_answering(agent, false);
-        send_load(agent);
     }
-    agent.reading = true;
-    agent.reading_since = at;
-    auto const body = std::make_shared<std::string>();
-    auto const status = std::make_shared<unsigned>(0);
-    exchange_events events;
-    events.on_head = [status](message_head const& head) {
-        *status = head.status;
-        return true;
-    };
-    events.on_body = [body](std::string bytes) {
-        *body += bytes;
-        return true;
-    };
-    events.on_end = [&agent, body, status](exchange_end how) {
-        agent.reading = false;
-        bool const answered = how == exchange_end::complete && *status == ok_status;
-        note_answering(agent, answered);
-        if (answered) {
-            take_report(agent, *body);
-        } else {
-            send_load(agent);
-        }
-    };
-    agent.exchange = agent.pool.start({agent.settings.target_address,
-                                       platform::encode_report_call(agent.settings.target_address),
-                                       false, connect_limit, max_idle},
-                                      std::move(events));
 }
 
-void on_message(rank_agent& agent, peer_message const& message) {
+void on_update(rank_agent& agent, std::string const& from, directory_update const& update) {
+    auto const at = loop_now(agent.loop);
+    take_update(agent.subscriber, from, update, at);
+    for (auto const& said : update.targets) {
+        take_announcement(agent.directory, said, announcement_source::peer, at);
+    }
+    ask_for_config(agent);
+}
+
+bool dispatch(rank_agent& agent, peer_message const& message) {
     if (message.type == update_type) {
-        if (auto const update = parse_update(message.body)) {
-            auto const at = loop_now(agent.loop);
-            take_update(agent.subscriber, message.sender, update.value(), at);
-            for (auto const& said : update.value().targets) {
-                take_announcement(agent.directory, said, announcement_source::peer, at);
-            }
-            return;
-        }
+        auto const update = parse_update(message.body);
+        return update && (on_update(agent, message.sender, update.value()), true);
+    }
+    if (message.type == configuration_body_type) {
+        auto const body = parse_configuration(message.body);
+        return body && (take_config(agent, body.value()), true);
+    }
+    if (message.type == rank_status_type) {
+        auto const status = parse_rank_status(message.body);
+        return status && (on_rank_status(agent, status.value(), message.sender), true);
+    }
+    if (message.type == rank_instruction_type) {
+        auto const instruction = parse_rank_instruction(message.body);
+        return instruction && (on_instruction(agent, instruction.value()), true);
+    }
+    return false;
+}
+
+void on_message(rank_agent& agent, peer_message const& message) {
+    if (!dispatch(agent, message)) {
+        log_bounded(agent.loop, events::message_malformed,
+                    {{"type", message.type}, {"sender", message.sender}});
     }
-    log_bounded(agent.loop, events::message_malformed,
-                {{"type", message.type}, {"sender", message.sender}});
 }
 
 void reload(rank_agent& agent) {
@@ -177,8 +192,16 @@
 }
 
 void start_periodic_work(rank_agent& agent) {
-    run_every(agent.loop, report_period, [&agent] {
-        read_report(agent);
+    run_every(agent.loop, tick_period, [&agent] {
+        auto const at = loop_now(agent.loop);
+        if (at < agent.busy_until || at - agent.reported_at >= report_period - tick_period) {
+            read_report(agent);
+        }
+        tick_switch(agent);
+        return true;
+    });
+    run_every(agent.loop, counts_period, [&agent] {
+        read_counts(agent);
         return true;
     });
     run_every(agent.loop, sync_period, [&agent] {
@@ -192,23 +215,52 @@
     run_every(agent.loop, slow_period, [&agent] {
         forget_old(agent.directory, {}, loop_now(agent.loop));
         agent.metrics_listener->sweep();
+        ask_for_config(agent);
         return true;
     });
 }
 
 } // namespace
 
+rank_agent::rank_agent(vm_settings configured)
+    : settings{std::move(configured)}
+    , metrics{make_metrics()}
+    , pool{loop.context, loop.clock}
+    , random{random_seed()} {
+    auto& self = subscriber.self;
+    self.address = peer_address(settings, settings.ip);
+    self.role = daemon_role::rank_agent;
+    self.zone = settings.zone;
+    self.started = static_cast<std::uint64_t>(wall_now(loop.clock).time_since_epoch().count());
+}
+
+void read_report(rank_agent& agent) {
+    if (agent.reading) {
+        return;
+    }
+    agent.reading = true;
+    auto const& address = agent.settings.target_address;
+    call_engine(agent.loop, agent.pool, address, platform::encode_report_call(address),
+                report_limit, [&agent](std::optional<engine_answer> answer) {
+                    agent.reading = false;
+                    bool const answered = answer && answer->status == ok_status;
+                    note_answering(agent, answered);
+                    if (answered) {
+                        take_report(agent, answer->body);
+                        send_status(agent);
+                    } else {
+                        agent.reported_at = loop_now(agent.loop);
+                    }
+                    send_load(agent);
+                });
+}
+
 result<void> run_rank_agent(settings_source const& read_settings,
                             std::string const& settings_path) {
     BOOST_OUTCOME_TRY(settings, read_settings());
     rank_agent agent{std::move(settings)};
     agent.read_settings = read_settings;
-    auto& self = agent.subscriber.self;
-    self.address = peer_address(agent.settings, agent.settings.ip);
-    self.role = daemon_role::rank_agent;
-    self.zone = agent.settings.zone;
-    self.started =
-        static_cast<std::uint64_t>(wall_now(agent.loop.clock).time_since_epoch().count());
+    auto const& self = agent.subscriber.self;
     configure_registrars(agent.subscriber, seed_peers(agent.settings), loop_now(agent.loop));
     BOOST_OUTCOME_TRY(
         link, peer_link::open(agent.loop.context, self.address,
--- a/src/rankagent.h
+++ b/src/rankagent.h
@@ -1,17 +1,108 @@
 /// @file
-/// A rank agent: runs beside a model engine, reads its free reports and tells the gateways.
+/// A rank agent: runs beside a model engine, reads its free reports, tells the gateways, and
+/// carries out expert map changes. rankagent.cpp reads and reports, rankswitch.cpp changes maps.
+/// One event loop runs it all; nothing is locked.
 #pragma once
 
+#include "directorysync.h"
+#include "enginereport.h"
 #include "eventloop.h"
+#include "expertplace.h"
+#include "groupswitch.h"
+#include "peerlink.h"
+#include "rng.h"
+#include "serviceconfig.h"
+#include "targetdirectory.h"
+#include "targetpool.h"
+#include "vmsettings.h"
 
+#include <map>
+#include <memory>
+#include <optional>
 #include <string>
 
 namespace fireflycrank {
 
+/// How often the choices of each expert were made lately.
+struct demand_window {
+    expert_demand demand; ///< decayed counts by set and expert
+    time_point updated_at{};
+};
+
+/// The state of a rank agent.
+struct rank_agent {
+    explicit rank_agent(vm_settings configured);
+
+    event_loop loop;
+    vm_settings settings;
+    settings_source read_settings;
+    std::shared_ptr<peer_link> link;
+    std::shared_ptr<metrics_registry> metrics;
+    std::shared_ptr<http_listener> metrics_listener;
+    target_pool pool;
+    directory_subscriber subscriber;
+    target_directory directory;
+    rng random;
+
+    std::optional<engine_report> report;
+    time_point reported_at{};
+    bool reading{false};
+    bool answering{true};
+    std::uint64_t loads_sent{0};
+    time_point busy_until{}; ///< a map change is under way: reports are read more often
+
+    // The rank's part.
+    std::optional<expert_counts> counted; ///< newest counts of the engine
+    std::vector<std::uint64_t> unsent;    ///< choices that no status carried yet
+    unsigned sets{0};
+    std::optional<rank_experts> experts; ///< of the map in use
+    std::uint64_t experts_version{0};
+    std::uint64_t experts_epoch{0};
+    std::uint64_t highest_version{0};
+    bool counting{false};
+    bool listing{false};
+
+    // The coordinator's part; used on rank 0.
+    std::optional<group_coordinator> coordinator;
+    demand_window demand;
+    time_point plan_at{};
+    std::optional<engine_traits> traits;
+    std::uint64_t config_version{0};
+    time_point config_asked_at{};
+    switch_stage logged_stage{switch_stage::idle};
+};
+
 /// Runs a rank agent until it is stopped.
 /// @param read_settings reads the settings file
 /// @param settings_path the file, watched for changes
 /// @return nothing, or why it could not start
 result<void> run_rank_agent(settings_source const& read_settings, std::string const& settings_path);
 
+/// Reads the engine's report now; gateways and coordinator hear of it.
+/// @param agent the agent
+void read_report(rank_agent& agent);
+
+/// Reads the engine's counts and, when they changed, its experts.
+/// @param agent the agent
+void read_counts(rank_agent& agent);
+
+/// Sends the rank's status to the group's coordinator.
+/// @param agent the agent
+void send_status(rank_agent& agent);
+
+/// Takes a status as coordinator.
+/// @param agent the agent of rank 0
+/// @param status the status
+/// @param from the agent that sent it
+void on_rank_status(rank_agent& agent, rank_status const& status, std::string const& from);
+
+/// Carries out an instruction of the coordinator.
+/// @param agent the agent
+/// @param instruction the instruction
+void on_instruction(rank_agent& agent, rank_instruction const& instruction);
+
+/// Advances the coordinator; call it every 50 ms or so.
+/// @param agent the agent
+void tick_switch(rank_agent& agent);
+
 } // namespace fireflycrank
--- /dev/null
+++ b/src/rankswitch.cpp
@@ -0,0 +1,399 @@
+#include "directorywire.h"
+#include "engineclient.h"
+#include "platform/enginecalls.h"
+#include "rankagent.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fireflycrank {
+
+namespace {
+
+constexpr std::chrono::milliseconds order_limit{300};
+constexpr std::chrono::milliseconds counts_limit{500};
+constexpr std::chrono::milliseconds busy_span{1'500};
+// Time in which old choices lose half of their weight. Demand changes within seconds.
+constexpr std::chrono::duration<double> demand_half_life{0.5};
+// Choices in the window before a plan; fewer are noise.
+constexpr double least_choices = 300;
+// Pause between the end of one change and the next plan.
+constexpr std::chrono::milliseconds plan_pause{250};
+// A change must lower the most loaded rank by this part of the mean; it costs orders and copies.
+constexpr double least_gain = 0.05;
+// Copies of one change on one rank; each takes a link time of about 150 ms, and the whole change
+// waits for the last.
+constexpr unsigned copies_a_rank = 4;
+constexpr std::uint64_t version_spread = 1'000'000;
+constexpr unsigned ok_status = 200;
+constexpr unsigned accepted_status = 202;
+
+bool succeeded(std::optional<engine_answer> const& answer) {
+    return answer && (answer->status == ok_status || answer->status == accepted_status);
+}
+
+std::string group_name(rank_agent const& agent) {
+    return agent.settings.target_service + "/" + agent.report->group->name;
+}
+
+void log_order(rank_agent& agent, char const* operation, std::uint64_t version, std::uint64_t pass,
+               std::optional<engine_answer> const& answer) {
+    log_bounded(agent.loop, events::rank_order_ended,
+                {{"operation", operation},
+                 {"version", version},
+                 {"pass", pass},
+                 {"status", answer ? answer->status : 0}});
+}
+
+void order_own(rank_agent& agent, platform::rank_order const& order, char const* name,
+               std::function<void(bool)> done) {
+    auto const& address = agent.settings.target_address;
+    agent.busy_until = loop_now(agent.loop) + busy_span;
+    call_engine(agent.loop, agent.pool, address, platform::encode_order_call(address, order),
+                order_limit,
+                [&agent, order, name, done = std::move(done)](std::optional<engine_answer> answer) {
+                    log_order(agent, name, order.version, order.pass, answer);
+                    if (done) {
+                        done(succeeded(answer));
+                    }
+                    read_report(agent);
+                });
+}
+
+// The agent of rank 0 in the same group.
+std::string coordinator_address(rank_agent const& agent) {
+    auto const& self = agent.subscriber.self;
+    if (self.rank == 0) {
+        return self.address;
+    }
+    for (auto const& [address, entry] :
+         listed_daemons(agent.subscriber, daemon_role::rank_agent, loop_now(agent.loop))) {
+        if (entry.group == self.group && entry.rank == 0) {
+            return address;
+        }
+    }
+    return {};
+}
+
+rank_status make_status(rank_agent& agent) {
+    auto const& report = *agent.report;
+    rank_status status;
+    status.group = group_name(agent);
+    status.epoch = report.group->epoch;
+    status.rank = report.group->rank;
+    status.size = report.group->size;
+    status.open = report.group->open;
+    status.pass = report.pass;
+    status.map_version = report.map_version;
+    status.prepared_version = report.prepared_version;
+    status.armed = report.armed;
+    status.held_pass = report.held_pass;
+    agent.highest_version =
+        std::max({agent.highest_version, report.map_version, report.prepared_version});
+    status.highest_version = agent.highest_version;
+    status.sets = agent.sets;
+    status.counts = std::exchange(agent.unsent, {});
+    bool const known = agent.experts && agent.experts_version == report.map_version &&
+                       agent.experts_epoch == report.group->epoch;
+    if (known) {
+        status.in_use = agent.experts;
+    }
+    status.engine_address = agent.settings.target_address;
+    return status;
+}
+
+void add_counts(rank_agent& agent, expert_counts const& fresh) {
+    bool const goes_on = agent.counted && agent.counted->counts.size() == fresh.counts.size() &&
+                         agent.counted->epoch == fresh.epoch;
+    if (agent.unsent.size() != fresh.counts.size()) {
+        agent.unsent.assign(fresh.counts.size(), 0);
+    }
+    for (std::size_t at = 0; goes_on && at < fresh.counts.size(); ++at) {
+        auto const before = agent.counted->counts[at];
+        agent.unsent[at] += fresh.counts[at] >= before ? fresh.counts[at] - before : 0;
+    }
+    agent.counted = fresh;
+}
+
+void read_experts(rank_agent& agent) {
+    if (agent.listing || !agent.report || !agent.report->group) {
+        return;
+    }
+    auto const version = agent.report->map_version;
+    auto const epoch = agent.report->group->epoch;
+    if (agent.experts && agent.experts_version == version && agent.experts_epoch == epoch) {
+        return;
+    }
+    agent.listing = true;
+    auto const& address = agent.settings.target_address;
+    call_engine(agent.loop, agent.pool, address, platform::encode_experts_call(address),
+                counts_limit, [&agent, version, epoch](std::optional<engine_answer> answer) {
+                    agent.listing = false;
+                    auto decoded = answer && answer->status == ok_status
+                                       ? platform::decode_experts(answer->body)
+                                       : std::nullopt;
+                    bool const still = agent.report && agent.report->group &&
+                                       agent.report->map_version == version &&
+                                       agent.report->group->epoch == epoch;
+                    if (!decoded || !still) {
+                        return;
+                    }
+                    agent.experts = std::move(*decoded);
+                    agent.experts_version = version;
+                    agent.experts_epoch = epoch;
+                    agent.sets = static_cast<unsigned>(agent.experts->size());
+                });
+}
+
+// --- coordinator -------------------------------------------------------------------------------
+
+void decay_demand(rank_agent& agent) {
+    auto const at = loop_now(agent.loop);
+    auto const span = std::chrono::duration<double>{at - agent.demand.updated_at};
+    double const kept = std::exp2(-(span / demand_half_life));
+    agent.demand.updated_at = at;
+    for (auto& set : agent.demand.demand) {
+        for (double& one : set) {
+            one *= kept;
+        }
+    }
+}
+
+void add_demand(rank_agent& agent, rank_status const& status) {
+    if (status.sets == 0 || status.counts.empty() || status.counts.size() % status.sets != 0) {
+        return;
+    }
+    auto const experts = status.counts.size() / status.sets;
+    auto& demand = agent.demand.demand;
+    if (demand.size() != status.sets || demand.front().size() != experts) {
+        demand.assign(status.sets, std::vector<double>(experts, 0.0));
+    }
+    decay_demand(agent);
+    for (std::size_t at = 0; at < status.counts.size(); ++at) {
+        demand[at / experts][at % experts] += static_cast<double>(status.counts[at]);
+    }
+}
+
+bool has_demand(rank_agent const& agent) {
+    auto const& demand = agent.demand.demand;
+    if (demand.empty()) {
+        return false;
+    }
+    double total = 0;
+    for (double const one : demand.front()) {
+        total += one;
+    }
+    return total >= least_choices;
+}
+
+group_experts present_map(group_coordinator const& coordinator) {
+    group_experts map;
+    for (auto const& [rank, known] : coordinator.ranks) {
+        map.push_back(*known.status.in_use);
+    }
+    return map;
+}
+
+// Every rank knows its experts for the same sets, and every expert is somewhere.
+bool is_whole(group_experts const& map, expert_demand const& demand) {
+    for (std::size_t set = 0; set < demand.size(); ++set) {
+        std::vector<bool> held(demand[set].size(), false);
+        for (auto const& rank : map) {
+            if (rank.size() != demand.size()) {
+                return false;
+            }
+            for (auto const expert : rank[set]) {
+                if (expert >= held.size()) {
+                    return false;
+                }
+                held[expert] = true;
+            }
+        }
+        if (std::find(held.begin(), held.end(), false) != held.end()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void plan(rank_agent& agent) {
+    auto& coordinator = *agent.coordinator;
+    auto const at = loop_now(agent.loop);
+    if (at < agent.plan_at || !agent.traits || !may_begin(coordinator, at) || !has_demand(agent)) {
+        return;
+    }
+    agent.plan_at = at + plan_pause;
+    auto const present = present_map(coordinator);
+    if (!is_whole(present, agent.demand.demand)) {
+        return;
+    }
+    auto const planned = plan_places(present, agent.demand.demand,
+                                     {agent.traits->places, agent.traits->spare, copies_a_rank});
+    bool const worth_it = planned.copies > 0 && planned.before - planned.after >= least_gain;
+    log_bounded(agent.loop, events::map_change_planned,
+                {{"group", coordinator.group},
+                 {"epoch", coordinator.epoch},
+                 {"skew_before", planned.before},
+                 {"skew_after", planned.after},
+                 {"copies", planned.copies},
+                 {"begun", worth_it}});
+    if (worth_it) {
+        begin_switch(coordinator, planned.map, next_below(agent.random, version_spread), at);
+    }
+}
+
+void order_hold(rank_agent& agent, std::uint64_t pass) {
+    platform::rank_order order;
+    order.kind = platform::rank_order_kind::hold;
+    order.epoch = agent.coordinator->epoch;
+    order.fence = agent.coordinator->version;
+    order.pass = pass;
+    order_own(agent, order, "hold", [&agent, pass](bool held) {
+        if (agent.coordinator) {
+            take_hold_answer(*agent.coordinator, pass, held);
+            tick_switch(agent);
+        }
+    });
+}
+
+void order_release(rank_agent& agent, std::uint64_t pass) {
+    platform::rank_order order;
+    order.kind = platform::rank_order_kind::release;
+    order.epoch = agent.coordinator->epoch;
+    order.fence = agent.coordinator->version;
+    order.pass = pass;
+    order_own(agent, order, "release", {});
+}
+
+void carry_out(rank_agent& agent, group_actions const& actions) {
+    auto const& coordinator = *agent.coordinator;
+    for (auto const& instruction : actions.instructions) {
+        auto const known = coordinator.ranks.find(instruction.rank);
+        if (known == coordinator.ranks.end()) {
+            continue;
+        }
+        if (known->second.agent == agent.subscriber.self.address) {
+            on_instruction(agent, instruction);
+        } else {
+            agent.link->send(known->second.agent, rank_instruction_type, serialize(instruction));
+        }
+    }
+    if (actions.hold) {
+        order_hold(agent, *actions.hold);
+    }
+    if (actions.release) {
+        order_release(agent, *actions.release);
+    }
+}
+
+void log_stage(rank_agent& agent) {
+    auto const& coordinator = *agent.coordinator;
+    if (coordinator.stage == agent.logged_stage) {
+        return;
+    }
+    agent.logged_stage = coordinator.stage;
+    log_bounded(agent.loop, events::map_change_stage,
+                {{"group", coordinator.group},
+                 {"epoch", coordinator.epoch},
+                 {"stage", name_of(coordinator.stage)},
+                 {"version", coordinator.version},
+                 {"pass", coordinator.pass},
+                 {"completed", coordinator.completed},
+                 {"abandoned", coordinator.abandoned},
+                 {"held_ms", in_millis(coordinator.last_held)}});
+}
+
+void note_coordinator(rank_agent& agent) {
+    bool const is_first = agent.report && agent.report->group && agent.report->group->rank == 0;
+    if (!is_first) {
+        agent.coordinator.reset();
+        return;
+    }
+    auto const name = group_name(agent);
+    if (!agent.coordinator || agent.coordinator->group != name) {
+        agent.coordinator.emplace();
+        agent.coordinator->group = name;
+    }
+}
+
+} // namespace
+
+void read_counts(rank_agent& agent) {
+    if (agent.counting || !agent.report || !agent.report->group) {
+        return;
+    }
+    read_experts(agent);
+    agent.counting = true;
+    auto const& address = agent.settings.target_address;
+    call_engine(agent.loop, agent.pool, address, platform::encode_counts_call(address),
+                counts_limit, [&agent](std::optional<engine_answer> answer) {
+                    agent.counting = false;
+                    if (!answer || answer->status != ok_status) {
+                        return;
+                    }
+                    if (auto const counts = platform::decode_counts(answer->body)) {
+                        add_counts(agent, *counts);
+                    }
+                });
+}
+
+void send_status(rank_agent& agent) {
+    if (!agent.report || !agent.report->group) {
+        return;
+    }
+    note_coordinator(agent);
+    auto const to = coordinator_address(agent);
+    if (to.empty()) {
+        return;
+    }
+    auto const status = make_status(agent);
+    if (to == agent.subscriber.self.address) {
+        on_rank_status(agent, status, to);
+    } else {
+        agent.link->send(to, rank_status_type, serialize(status));
+    }
+}
+
+void on_rank_status(rank_agent& agent, rank_status const& status, std::string const& from) {
+    if (!agent.coordinator || agent.coordinator->group != status.group) {
+        return;
+    }
+    take_status(*agent.coordinator, status, from, loop_now(agent.loop));
+    add_demand(agent, status);
+    tick_switch(agent);
+}
+
+void on_instruction(rank_agent& agent, rank_instruction const& instruction) {
+    bool const mine = agent.report && agent.report->group &&
+                      instruction.group == group_name(agent) &&
+                      instruction.epoch == agent.report->group->epoch &&
+                      instruction.rank == agent.report->group->rank;
+    if (!mine) {
+        return;
+    }
+    agent.highest_version = std::max(agent.highest_version, instruction.version);
+    platform::rank_order order;
+    order.epoch = instruction.epoch;
+    order.fence = instruction.version;
+    order.version = instruction.version;
+    order.pass = instruction.pass;
+    bool const prepares = instruction.operation == rank_operation::prepare;
+    order.kind = prepares ? platform::rank_order_kind::prepare : platform::rank_order_kind::arm;
+    order.map = instruction.map;
+    order_own(agent, order, prepares ? "prepare" : "arm", {});
+}
+
+void tick_switch(rank_agent& agent) {
+    if (!agent.coordinator) {
+        return;
+    }
+    plan(agent);
+    auto const actions = advance(*agent.coordinator, loop_now(agent.loop));
+    if (agent.coordinator->stage != switch_stage::idle) {
+        agent.busy_until = loop_now(agent.loop) + busy_span;
+    }
+    log_stage(agent);
+    carry_out(agent, actions);
+}
+
+} // namespace fireflycrank
