Repeat lost arm orders after 40 ms and give more lead while orders are lost

Cause: with orders lost, arming took 150 ms before a held pass; each such change put a pause over 120 ms into every stream of the group.

--- a/src/groupswitch.cpp
+++ b/src/groupswitch.cpp
@@ -50,9 +50,15 @@
     actions.instructions.push_back(std::move(made));
 }
 
+std::uint64_t lead_passes(group_coordinator const& coordinator) {
+    auto const& settings = coordinator.settings;
+    auto const more = static_cast<std::uint64_t>(coordinator.slow_arming / settings.lead_span);
+    return std::min(settings.lead_passes + more, settings.most_lead_passes);
+}
+
 void advance_preparing(group_coordinator& coordinator, time_point now, group_actions& actions) {
     if (all_prepared(coordinator, coordinator.version) && all_fresh(coordinator, now)) {
-        coordinator.pass = own_status(coordinator)->pass + coordinator.settings.lead_passes;
+        coordinator.pass = own_status(coordinator)->pass + lead_passes(coordinator);
         coordinator.hold_confirmed = false;
         enter(coordinator, switch_stage::holding, now);
         return;
@@ -81,7 +87,7 @@
     }
     if (own.pass >= coordinator.pass) {
         // The pass began without a hold. No rank was told to arm for it.
-        coordinator.pass = own.pass + coordinator.settings.lead_passes;
+        coordinator.pass = own.pass + lead_passes(coordinator);
         coordinator.own_resend_at = now;
     }
     if (now >= coordinator.own_resend_at) {
@@ -105,7 +111,11 @@
         coordinator.resend_at = now + coordinator.settings.arm_resend;
     }
     if (all) {
+        constexpr double decay = 0.8;
         coordinator.last_held = now - coordinator.since;
+        coordinator.slow_arming =
+            std::max(coordinator.last_held, std::chrono::duration_cast<duration>(
+                                                decay * coordinator.slow_arming));
         enter(coordinator, switch_stage::releasing, now);
     }
 }
--- a/src/groupswitch.h
+++ b/src/groupswitch.h
@@ -64,15 +64,20 @@
 /// Times and limits.
 struct group_switch_settings {
     duration prepare_resend{std::chrono::milliseconds{400}};
-    duration arm_resend{std::chrono::milliseconds{120}};
-    duration own_resend{std::chrono::milliseconds{100}};
+    /// An answered order takes a few milliseconds; a pause of the group over 100 ms makes every
+    /// stream late.
+    duration arm_resend{std::chrono::milliseconds{40}};
+    duration own_resend{std::chrono::milliseconds{40}};
     /// A preparation that takes longer is given up; nothing is held meanwhile.
     duration prepare_limit{std::chrono::seconds{6}};
     /// Statuses must be this fresh before a hold: an agent that is down would stop the group.
     duration status_life{std::chrono::milliseconds{600}};
     /// Passes between the newest report and the held one. A pass takes about as long as hold, arm
-    /// and release together.
+    /// and release together when no order is lost.
     std::uint64_t lead_passes{2};
+    /// While orders are being lost, one more pass for each such span that arming took lately.
+    duration lead_span{std::chrono::milliseconds{40}};
+    std::uint64_t most_lead_passes{8};
 };
 
 struct known_rank {
@@ -97,7 +102,8 @@
     time_point own_resend_at{};
     std::uint64_t completed{0};
     std::uint64_t abandoned{0};
-    duration last_held{}; ///< from arming to release of the last change
+    duration last_held{};  ///< from arming to release of the last change
+    duration slow_arming{}; ///< the same, a decaying maximum over the last changes
 };
 
 /// What the coordinator does next.
