Let requests wait for a starting gateway's configuration; change maps only when passes are long

Cause 1: after a restart a gateway refused for a second until the core had elected a leader; the callers' only retry was refused too. Cause 2: copies for imbalance that delayed nobody were paid.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -104,6 +104,9 @@
         sure = sure || (contact.confirmed && contact.config_version <= owner.config->version);
     }
     owner.config_confirmed = sure && newest <= owner.config->version;
+    if (owner.config_confirmed) {
+        resume_calls(owner);
+    }
 }
 
 void ask_for_config(gateway& owner, std::string const& from, std::uint64_t announced) {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -63,6 +63,10 @@
 /// @param writer its answer
 void serve_call(gateway& owner, incoming_request request, std::shared_ptr<answer_writer> writer);
 
+/// Goes on with calls that waited for the configuration.
+/// @param owner the gateway, now sure of its configuration
+void resume_calls(gateway& owner);
+
 /// Ends calls whose time is over; call it every 50 ms or so.
 /// @param owner the gateway
 void sweep_calls(gateway& owner);
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -31,6 +31,10 @@
 constexpr std::chrono::milliseconds default_time_limit{60'000};
 constexpr unsigned lowest_urgency = 9;
 
+// A gateway that has just started gets its configuration within this time, unless the core is down
+// for longer; what arrives meanwhile waits instead of using up the caller's retry.
+constexpr std::chrono::milliseconds config_wait{1'500};
+constexpr int config_wait_divisor = 3; // of the caller's time, so that a retry still has time
 // When to come back after a refusal, before jitter.
 constexpr std::chrono::milliseconds soon{300};
 constexpr std::chrono::milliseconds later{1'000};
@@ -79,11 +83,42 @@
         , call_{platform::decode_call(request_.head)} {}
 
     void begin() {
-        auto const& config = owner_.config;
-        if (config == nullptr) {
-            refuse("no_configuration", soon);
+        owner_.calls.insert(shared_from_this());
+        writer_->on_gone([weak = weak_from_this()] {
+            if (auto const self = weak.lock()) {
+                self->on_caller_gone();
+            }
+        });
+        if (owner_.config_confirmed) {
+            begin_routing();
             return;
         }
+        waiting_ = true;
+        auto const limit = call_.time_limit.value_or(default_time_limit) / config_wait_divisor;
+        give_up_at_ = request_.began + std::min<duration>(limit, config_wait);
+    }
+
+    // Goes on once the gateway knows its configuration.
+    void resume() {
+        if (std::exchange(waiting_, false) && !ended_) {
+            begin_routing();
+        }
+    }
+
+    void sweep(time_point at) {
+        if (at < give_up_at_ || ended_) {
+            return;
+        }
+        if (waiting_) {
+            refuse("no_configuration", later);
+            return;
+        }
+        on_time_over();
+    }
+
+private:
+    void begin_routing() {
+        auto const& config = owner_.config;
         auto const* const route = find_route(*config, call_.host, request_.head.target);
         if (route == nullptr) {
             answer_own(not_found, "no_route", std::nullopt);
@@ -99,22 +134,9 @@
             urgency_ = team->priority;
         }
         take_route(*route);
-        owner_.calls.insert(shared_from_this());
-        writer_->on_gone([weak = weak_from_this()] {
-            if (auto const self = weak.lock()) {
-                self->on_caller_gone();
-            }
-        });
         attempt();
     }
 
-    void sweep(time_point at) {
-        if (at >= give_up_at_ && !ended_) {
-            on_time_over();
-        }
-    }
-
-private:
     void take_route(call_route const& route) {
         version_ = owner_.config->version;
         route_ = route.name;
@@ -485,6 +507,7 @@
     std::string target_;
     bool running_{false};
     bool ended_{false};
+    bool waiting_{false}; ///< for the configuration
     std::shared_ptr<target_exchange> exchange_;
     std::optional<target_answer> answer_;
     message_head head_;
@@ -496,6 +519,13 @@
     std::make_shared<gateway_call>(owner, std::move(request), std::move(writer))->begin();
 }
 
+void resume_calls(gateway& owner) {
+    auto const open = owner.calls;
+    for (auto const& call : open) {
+        call->resume();
+    }
+}
+
 void sweep_calls(gateway& owner) {
     auto const at = loop_now(owner.loop);
     auto const open = owner.calls;
--- a/src/groupswitch.cpp
+++ b/src/groupswitch.cpp
@@ -114,8 +114,8 @@
         constexpr double decay = 0.8;
         coordinator.last_held = now - coordinator.since;
         coordinator.slow_arming =
-            std::max(coordinator.last_held, std::chrono::duration_cast<duration>(
-                                                decay * coordinator.slow_arming));
+            std::max(coordinator.last_held,
+                     std::chrono::duration_cast<duration>(decay * coordinator.slow_arming));
         enter(coordinator, switch_stage::releasing, now);
     }
 }
--- a/src/groupswitch.h
+++ b/src/groupswitch.h
@@ -102,7 +102,7 @@
     time_point own_resend_at{};
     std::uint64_t completed{0};
     std::uint64_t abandoned{0};
-    duration last_held{};  ///< from arming to release of the last change
+    duration last_held{};   ///< from arming to release of the last change
     duration slow_arming{}; ///< the same, a decaying maximum over the last changes
 };
 
--- a/src/rankagent.cpp
+++ b/src/rankagent.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::chrono::milliseconds tick_period{50};
 constexpr std::chrono::milliseconds report_period{200};
-constexpr std::chrono::milliseconds counts_period{250};
+constexpr std::chrono::milliseconds counts_period{150};
 constexpr std::chrono::milliseconds sync_period{100};
 constexpr std::chrono::milliseconds slow_period{1'000};
 // The engine is on the same VM and answers reports at once.
--- a/src/rankagent.h
+++ b/src/rankagent.h
@@ -66,6 +66,9 @@
     std::optional<group_coordinator> coordinator;
     demand_window demand;
     time_point plan_at{};
+    duration pass_time{}; ///< smoothed, of passes with work
+    std::uint64_t timed_pass{0};
+    time_point timed_at{};
     std::optional<engine_traits> traits;
     std::uint64_t config_version{0};
     time_point config_asked_at{};
--- a/src/rankswitch.cpp
+++ b/src/rankswitch.cpp
@@ -18,12 +18,18 @@
 // Choices in the window before a plan; fewer are noise.
 constexpr double least_choices = 300;
 // Pause between the end of one change and the next plan.
-constexpr std::chrono::milliseconds plan_pause{250};
-// A change must lower the most loaded rank by this part of the mean; it costs orders and copies.
+constexpr std::chrono::milliseconds plan_pause{100};
+// A change must lower the most loaded rank by this part of the mean; copies are priced.
 constexpr double least_gain = 0.05;
+// While passes are short, imbalance delays nobody.
+constexpr double least_gain_at_ease = 0.25;
+// About half of the pause between events that callers accept.
+constexpr std::chrono::milliseconds easy_pass{60};
+constexpr std::chrono::milliseconds pass_sample{150};
+constexpr double pass_weight = 0.5; // of the newest sample
 // Copies of one change on one rank; each takes a link time of about 150 ms, and the whole change
 // waits for the last.
-constexpr unsigned copies_a_rank = 4;
+constexpr unsigned copies_a_rank = 2;
 constexpr std::uint64_t version_spread = 1'000'000;
 constexpr unsigned ok_status = 200;
 constexpr unsigned accepted_status = 202;
@@ -145,6 +151,25 @@
                 });
 }
 
+// A group without work makes no passes; the time until the next one says nothing.
+void time_passes(rank_agent& agent) {
+    auto const& report = *agent.report;
+    auto const at = loop_now(agent.loop);
+    auto const span = at - agent.timed_at;
+    if (span < pass_sample) {
+        return;
+    }
+    auto const passes = report.pass - std::min(report.pass, agent.timed_pass);
+    bool const busy = report.running > 0 && passes > 0 && agent.timed_pass > 0;
+    if (busy) {
+        auto const sample = span / static_cast<std::int64_t>(passes);
+        agent.pass_time = std::chrono::duration_cast<duration>(
+            pass_weight * sample + (1.0 - pass_weight) * agent.pass_time);
+    }
+    agent.timed_pass = report.pass;
+    agent.timed_at = at;
+}
+
 // --- coordinator -------------------------------------------------------------------------------
 
 void decay_demand(rank_agent& agent) {
@@ -229,13 +254,15 @@
     }
     auto const planned = plan_places(present, agent.demand.demand,
                                      {agent.traits->places, agent.traits->spare, copies_a_rank});
-    bool const worth_it = planned.copies > 0 && planned.before - planned.after >= least_gain;
+    double const needed = agent.pass_time < easy_pass ? least_gain_at_ease : least_gain;
+    bool const worth_it = planned.copies > 0 && planned.before - planned.after >= needed;
     log_bounded(agent.loop, events::map_change_planned,
                 {{"group", coordinator.group},
                  {"epoch", coordinator.epoch},
                  {"skew_before", planned.before},
                  {"skew_after", planned.after},
                  {"copies", planned.copies},
+                 {"pass_ms", in_millis(agent.pass_time)},
                  {"begun", worth_it}});
     if (worth_it) {
         begin_switch(coordinator, planned.map, next_below(agent.random, version_spread), at);
@@ -341,6 +368,7 @@
     if (!agent.report || !agent.report->group) {
         return;
     }
+    time_passes(agent);
     note_coordinator(agent);
     auto const to = coordinator_address(agent);
     if (to.empty()) {
--- a/src/registrar.cpp
+++ b/src/registrar.cpp
@@ -23,7 +23,7 @@
 // A replica whose disk failed is opened again at this period; the directory is served meanwhile.
 constexpr std::chrono::milliseconds reopen_period{1'000};
 // A leader's message within this time proves that the applied configuration is the newest.
-constexpr std::chrono::milliseconds leader_contact_life{600};
+constexpr std::chrono::milliseconds leader_contact_life{450};
 // Silence of a voter before an even number of voters is made odd. Longer than a restart takes.
 constexpr std::chrono::milliseconds voter_silence{2'500};
 // An operator's call is given up by then; it sends the same again.
@@ -33,8 +33,8 @@
 
 // A core VM has a small part of a processor, so the timers are slower than the product's own.
 constexpr std::chrono::milliseconds heartbeat{100};
-constexpr std::chrono::milliseconds election_timeout_min{600};
-constexpr std::chrono::milliseconds election_timeout_max{1'200};
+constexpr std::chrono::milliseconds election_timeout_min{450};
+constexpr std::chrono::milliseconds election_timeout_max{900};
 constexpr std::size_t snapshot_bytes = 8U << 20U; // well under the disk's and the memory's size
 constexpr std::size_t kept_bytes = 2U << 20U;
 
