--- /dev/null
+++ b/src/callqueue.cpp
@@ -0,0 +1,56 @@
+#include "callqueue.h"
+
+#include <algorithm>
+
+namespace fireflycrank {
+
+void enqueue(call_queue& queue, std::string const& service, queued_call const& call) {
+    auto& waiting = queue.by_service[service];
+    auto const place = std::upper_bound(waiting.begin(), waiting.end(), call,
+                                        [](queued_call const& left, queued_call const& right) {
+                                            return left.arrived < right.arrived;
+                                        });
+    waiting.insert(place, call);
+}
+
+void remove(call_queue& queue, std::string const& service, std::uint64_t id) {
+    auto const found = queue.by_service.find(service);
+    if (found != queue.by_service.end()) {
+        std::erase_if(found->second, [&](queued_call const& call) { return call.id == id; });
+    }
+}
+
+std::optional<std::uint64_t> next_call(call_queue const& queue, std::string const& service,
+                                       time_point now) {
+    auto const found = queue.by_service.find(service);
+    if (found == queue.by_service.end() || found->second.empty()) {
+        return std::nullopt;
+    }
+    queued_call const* most_urgent = nullptr;
+    for (auto const& call : found->second) {
+        bool const on_time = call.on_time_until > now;
+        if (on_time && (most_urgent == nullptr || call.on_time_until < most_urgent->on_time_until)) {
+            most_urgent = &call;
+        }
+    }
+    return most_urgent != nullptr ? most_urgent->id : found->second.front().id;
+}
+
+std::vector<std::uint64_t> impatient_calls(call_queue const& queue, time_point now) {
+    std::vector<std::uint64_t> ids;
+    for (auto const& [service, waiting] : queue.by_service) {
+        for (auto const& call : waiting) {
+            if (call.patient_until <= now) {
+                ids.push_back(call.id);
+            }
+        }
+    }
+    return ids;
+}
+
+std::size_t waiting_calls(call_queue const& queue, std::string const& service) {
+    auto const found = queue.by_service.find(service);
+    return found == queue.by_service.end() ? 0 : found->second.size();
+}
+
+} // namespace fireflycrank
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds sweep_period{50};
+constexpr std::chrono::milliseconds sweep_period{30};
 constexpr std::chrono::milliseconds sync_period{100};
 constexpr std::chrono::milliseconds slow_period{1'000};
 // A registrar that does not send the configuration it announced is left for another.
@@ -386,6 +386,9 @@
     if (!report.group.empty()) {
         view.group = group_place{report.group, report.epoch, report.rank, report.group_open, at};
     }
+    if (!owner.queued.empty()) {
+        admit_calls(owner);
+    }
 }
 
 result<void> run_gateway(settings_source const& read_settings, std::string const& settings_path) {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -6,6 +6,7 @@
 
 #include "callmessage.h"
 #include "callplan.h"
+#include "callqueue.h"
 #include "directorysync.h"
 #include "engineload.h"
 #include "eventloop.h"
@@ -53,6 +54,10 @@
     time_point started_at{};
 
     std::set<std::shared_ptr<gateway_call>> calls;
+    call_queue queue; ///< calls that wait for a place at a target
+    std::map<std::uint64_t, std::shared_ptr<gateway_call>> queued;
+    std::uint64_t last_queued{0};
+    bool admitting{false};
     rng random;
     bool stopping{false};
 };
@@ -67,6 +72,10 @@
 /// @param owner the gateway, now sure of its configuration
 void resume_calls(gateway& owner);
 
+/// Sends waiting calls for which there is room now.
+/// @param owner the gateway
+void admit_calls(gateway& owner);
+
 /// Ends calls whose time is over; call it every 50 ms or so.
 /// @param owner the gateway
 void sweep_calls(gateway& owner);
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -30,11 +30,25 @@
 constexpr std::size_t max_answer_bytes = 32U << 20U;
 constexpr std::chrono::milliseconds default_time_limit{60'000};
 constexpr unsigned lowest_urgency = 9;
+// A request that has missed its objective yields to those that can still meet theirs.
+constexpr unsigned late_urgency = 8;
 
 // A gateway that has just started gets its configuration within this time, unless the core is down
 // for longer; what arrives meanwhile waits instead of using up the caller's retry.
 constexpr std::chrono::milliseconds config_wait{1'500};
 constexpr int config_wait_divisor = 3; // of the caller's time, so that a retry still has time
+// Requests that a target may have beyond its slots before others wait at the gateway: the next one
+// is there when a slot becomes free.
+constexpr double room_beyond_slots = 1.0;
+// Time from the send to the first event of a stream at a target with a free slot.
+constexpr std::chrono::milliseconds usual_first_event{150};
+// Callers abandon a stream after two seconds without an event; a refusal before that leaves them time
+// to come back.
+constexpr std::chrono::milliseconds stream_patience{1'500};
+constexpr std::chrono::milliseconds plain_patience{350};
+constexpr int patience_divisor = 3; // of the caller's time
+// A stream that broke off goes on before its caller notices the pause.
+constexpr std::chrono::milliseconds resume_hurry{50};
 // When to come back after a refusal, before jitter.
 constexpr std::chrono::milliseconds soon{300};
 constexpr std::chrono::milliseconds later{1'000};
@@ -144,6 +158,8 @@
         progress_.resumable = route.resumable;
         progress_.max_attempts = route.max_attempts;
         urgency_ = std::min(urgency_.value_or(route.priority), lowest_urgency);
+        timeout_ = route.timeout;
+        objective_ = route.target_latency;
         service_ = pick_service(route, next_unit(owner_.random));
         count_request(owner_.ledgers[service_], owner_.bound, request_.began);
         auto const limit =
@@ -158,19 +174,103 @@
                                                                      loop_now(owner_.loop));
     }
 
+    // Whether the objective is missed already, counted from the caller's first attempt: a retry states
+    // less time than the route gives.
+    [[nodiscard]] bool is_late() const {
+        return !progress_.answer_started && objective_ > duration::zero() &&
+               loop_now(owner_.loop) - request_.began + spent_before() > objective_;
+    }
+
+    [[nodiscard]] duration spent_before() const {
+        return std::max<duration>(duration::zero(), timeout_ - call_.time_limit.value_or(timeout_));
+    }
+
     target_view* view() {
         auto const found = owner_.targets.find(target_);
         return found == owner_.targets.end() ? nullptr : &found->second;
     }
 
+    [[nodiscard]] target_choice choose() const {
+        return choose_target(owner_.targets, service_, owner_.settings.zone, tried_, owner_.choice,
+                             owner_.random, loop_now(owner_.loop));
+    }
+
+    // A plain service sheds what is too much at once; a stream would wait there behind others.
+    [[nodiscard]] bool has_room(target_choice const& choice) const {
+        bool const counts = progress_.kind == call_kind::stream && choice.slots > 0;
+        return choice.sound &&
+               (!counts || choice.load < static_cast<double>(choice.slots) + room_beyond_slots);
+    }
+
+    // Sends at once where there is room and nobody waits; waits otherwise.
     void attempt() {
+        auto const choice = choose();
+        bool const others_wait =
+            waiting_calls(owner_.queue, service_) > 0 && progress_.kind == call_kind::stream;
+        if (has_room(choice) && !others_wait) {
+            send(choice);
+            return;
+        }
+        wait_for_room();
+    }
+
+    void wait_for_room() {
         auto const at = loop_now(owner_.loop);
-        auto const choice = choose_target(owner_.targets, service_, owner_.settings.zone, tried_,
-                                          owner_.choice, owner_.random, at);
-        if (choice.id.empty()) {
-            give_up(tried_.empty() ? "no_target" : "no_other_target");
+        bool const stream = progress_.kind == call_kind::stream;
+        auto const limit = std::min<duration>(stream ? stream_patience : plain_patience,
+                                              (ends_at_ - request_.began) / patience_divisor);
+        queued_call waiting;
+        waiting.id = ++owner_.last_queued;
+        waiting.arrived = request_.began;
+        waiting.on_time_until = progress_.answer_started
+                                    ? at + resume_hurry
+                                    : request_.began - spent_before() + objective_ -
+                                          usual_first_event;
+        waiting.patient_until = std::max(request_.began, sent_at_) + limit;
+        if (waiting.patient_until <= at) {
+            give_up("no_room");
             return;
         }
+        queued_id_ = waiting.id;
+        enqueue(owner_.queue, service_, waiting);
+        owner_.queued.emplace(waiting.id, shared_from_this());
+    }
+
+    void leave_queue() {
+        if (queued_id_ != 0) {
+            remove(owner_.queue, service_, queued_id_);
+            owner_.queued.erase(queued_id_);
+            queued_id_ = 0;
+        }
+    }
+
+public:
+    // Takes a place if there is one.
+    bool admit() {
+        auto const choice = choose();
+        if (!has_room(choice)) {
+            return false;
+        }
+        leave_queue();
+        send(choice);
+        return true;
+    }
+
+    void lose_patience() {
+        auto const choice = choose();
+        leave_queue();
+        if (progress_.kind != call_kind::stream && !choice.id.empty()) {
+            send(choice); // a doubtful target is better than none
+            return;
+        }
+        give_up(choice.id.empty() ? "no_target" : "no_room");
+    }
+
+    [[nodiscard]] std::string const& service() const { return service_; }
+
+private:
+    void send(target_choice const& choice) {
+        auto const at = loop_now(owner_.loop);
         target_ = choice.id;
         tried_.push_back(target_);
         auto& chosen = owner_.targets.at(target_);
@@ -189,6 +289,7 @@
                      {"slots", choice.slots},
                      {"report_age_ms", in_millis(choice.report_age)},
                      {"candidates", choice.candidates},
+                     {"waited_ms", in_millis(at - request_.began)},
                      {"left_ms", time_left().count()}});
         exchange_ = owner_.pool.start(target_bytes(chosen), exchange_handlers());
     }
@@ -198,7 +299,7 @@
         fields.target_id = chosen.said.id;
         fields.team = team_;
         fields.time_left = time_left();
-        fields.urgency = urgency_;
+        fields.urgency = is_late() ? std::max(urgency_.value_or(0), late_urgency) : urgency_;
         fields.after_event = splitter_.last_id;
         target_request out;
         out.address = chosen.said.address;
@@ -285,6 +386,18 @@
         if (auto* const known = view()) {
             known->own_running -= known->own_running > 0 ? 1 : 0;
         }
+        post_admission();
+    }
+
+    // A place became free; posted, because the caller of this is not done with its own call yet.
+    void post_admission() {
+        if (!owner_.queued.empty() && !owner_.admitting) {
+            owner_.admitting = true;
+            net::post(owner_.loop.context, [&owner = owner_] {
+                owner.admitting = false;
+                admit_calls(owner);
+            });
+        }
     }
 
     void on_exchange_end(exchange_end how) {
@@ -414,6 +527,7 @@
     }
 
     void on_time_over() {
+        leave_queue();
         bool const handed_over = running_;
         if (exchange_) {
             exchange_->cancel();
@@ -432,6 +546,7 @@
         if (ended_) {
             return;
         }
+        leave_queue();
         if (exchange_) {
             exchange_->cancel();
             exchange_.reset();
@@ -499,6 +614,8 @@
     std::string team_;
     std::optional<unsigned> urgency_;
     std::uint64_t version_{0};
+    std::chrono::milliseconds timeout_{0};
+    std::chrono::milliseconds objective_{0};
     time_point ends_at_{};
     time_point give_up_at_{};
     time_point sent_at_{};
@@ -507,6 +624,7 @@
     std::string target_;
     bool running_{false};
     bool ended_{false};
+    std::uint64_t queued_id_{0};
     bool waiting_{false}; ///< for the configuration
     std::shared_ptr<target_exchange> exchange_;
     std::optional<target_answer> answer_;
@@ -526,8 +644,32 @@
     }
 }
 
+void admit_calls(gateway& owner) {
+    std::vector<std::string> services;
+    for (auto const& [service, waiting] : owner.queue.by_service) {
+        services.push_back(service);
+    }
+    auto const at = loop_now(owner.loop);
+    for (auto const& service : services) {
+        while (auto const id = next_call(owner.queue, service, at)) {
+            auto const call = owner.queued.at(*id);
+            if (!call->admit()) {
+                break;
+            }
+        }
+    }
+}
+
 void sweep_calls(gateway& owner) {
     auto const at = loop_now(owner.loop);
+    admit_calls(owner);
+    for (auto const id : impatient_calls(owner.queue, at)) {
+        auto const waiting = owner.queued.find(id);
+        if (waiting != owner.queued.end()) {
+            auto const call = waiting->second;
+            call->lose_patience();
+        }
+    }
     auto const open = owner.calls;
     for (auto const& call : open) {
         call->sweep(at);
--- a/src/rankagent.cpp
+++ b/src/rankagent.cpp
@@ -21,7 +21,7 @@
 // The engine is on the same VM and answers reports at once.
 constexpr std::chrono::milliseconds report_limit{500};
 // Only the coordinator needs the engine's traits, and they hardly change.
-constexpr std::chrono::milliseconds config_period{2'000};
+constexpr std::chrono::milliseconds config_period{500};
 constexpr unsigned ok_status = 200;
 
 // The id under which the engine announced itself from this VM's address.
--- a/src/rankswitch.cpp
+++ b/src/rankswitch.cpp
@@ -28,8 +28,10 @@
 constexpr std::chrono::milliseconds pass_sample{150};
 constexpr double pass_weight = 0.5; // of the newest sample
 // Copies of one change on one rank; each takes a link time of about 150 ms, and the whole change
-// waits for the last.
-constexpr unsigned copies_a_rank = 2;
+// waits for the last. Great imbalance is worth a longer wait.
+constexpr unsigned few_copies = 2;
+constexpr unsigned many_copies = 3;
+constexpr double great_skew = 2.2;
 constexpr std::uint64_t version_spread = 1'000'000;
 constexpr unsigned ok_status = 200;
 constexpr unsigned accepted_status = 202;
@@ -252,8 +254,10 @@
     if (!is_whole(present, agent.demand.demand)) {
         return;
     }
+    auto const copies =
+        place_skew(present, agent.demand.demand) > great_skew ? many_copies : few_copies;
     auto const planned = plan_places(present, agent.demand.demand,
-                                     {agent.traits->places, agent.traits->spare, copies_a_rank});
+                                     {agent.traits->places, agent.traits->spare, copies});
     double const needed = agent.pass_time < easy_pass ? least_gain_at_ease : least_gain;
     bool const worth_it = planned.copies > 0 && planned.before - planned.after >= needed;
     log_bounded(agent.loop, events::map_change_planned,
--- a/src/targetchoice.cpp
+++ b/src/targetchoice.cpp
@@ -75,6 +75,7 @@
     auto const& chosen = *equal[next_below(random, equal.size())];
     choice.id = chosen.view->said.id;
     choice.load = chosen.load;
+    choice.sound = chosen.doubt == 0;
     choice.slots = chosen.view->said.slots;
     choice.report_age = chosen.view->load ? now - chosen.view->load->taken_at : duration{-1};
     return choice;
--- a/src/targetchoice.h
+++ b/src/targetchoice.h
@@ -66,6 +66,7 @@
     unsigned slots{0};
     unsigned candidates{0}; ///< targets that could be used
     duration report_age{};  ///< of the report behind `load`; negative without one
+    bool sound{false};      ///< heard of lately, not avoided, its group open
 };
 
 /// Estimates the requests that a target has now.
