--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -37,9 +37,14 @@
 // for longer; what arrives meanwhile waits instead of using up the caller's retry.
 constexpr std::chrono::milliseconds config_wait{1'500};
 constexpr int config_wait_divisor = 3; // of the caller's time, so that a retry still has time
-// Requests that a target may have beyond its slots before others wait at the gateway: the next one
+// Part of a target's slots that streams fill while nobody is short of time. A pass takes longer with
+// each running stream, and with fewer of them a change in the demand for experts does not lengthen
+// it over the pause that callers accept.
+constexpr double easy_share = 0.75;
+// Requests that a target may have beyond its slots for callers that are short of time: the next one
 // is there when a slot becomes free.
 constexpr double room_beyond_slots = 1.0;
+constexpr std::chrono::milliseconds short_of_time{40};
 // Time from the send to the first event of a stream at a target with a free slot.
 constexpr std::chrono::milliseconds usual_first_event{150};
 // Callers abandon a stream after two seconds without an event; a refusal before that leaves them time
@@ -197,9 +202,20 @@
 
     // A plain service sheds what is too much at once; a stream would wait there behind others.
     [[nodiscard]] bool has_room(target_choice const& choice) const {
-        bool const counts = progress_.kind == call_kind::stream && choice.slots > 0;
-        return choice.sound &&
-               (!counts || choice.load < static_cast<double>(choice.slots) + room_beyond_slots);
+        if (!choice.sound || progress_.kind != call_kind::stream || choice.slots == 0) {
+            return choice.sound;
+        }
+        auto const slots = static_cast<double>(choice.slots);
+        auto const left = on_time_until() - loop_now(owner_.loop);
+        if (progress_.answer_started || (left > duration::zero() && left < short_of_time)) {
+            return choice.load < slots + room_beyond_slots;
+        }
+        return choice.load < (left > duration::zero() ? slots * easy_share : slots);
+    }
+
+    // Sent by then, a stream can still have its first event in time.
+    [[nodiscard]] time_point on_time_until() const {
+        return request_.began - spent_before() + objective_ - usual_first_event;
     }
 
     // Sends at once where there is room and nobody waits; waits otherwise.
@@ -222,10 +238,7 @@
         queued_call waiting;
         waiting.id = ++owner_.last_queued;
         waiting.arrived = request_.began;
-        waiting.on_time_until = progress_.answer_started
-                                    ? at + resume_hurry
-                                    : request_.began - spent_before() + objective_ -
-                                          usual_first_event;
+        waiting.on_time_until = progress_.answer_started ? at + resume_hurry : on_time_until();
         waiting.patient_until = std::max(request_.began, sent_at_) + limit;
         if (waiting.patient_until <= at) {
             give_up("no_room");
--- a/src/groupswitch.cpp
+++ b/src/groupswitch.cpp
@@ -231,6 +231,34 @@
     return actions;
 }
 
+std::optional<completion_step> completion_of(group_view_reports const& reports) {
+    auto const first = reports.find(0);
+    if (first == reports.end() || !first->second.group || !first->second.held_pass ||
+        reports.size() != first->second.group->size) {
+        return std::nullopt;
+    }
+    completion_step step;
+    step.version = first->second.prepared_version;
+    step.pass = *first->second.held_pass;
+    if (step.version == 0 || step.version == first->second.map_version) {
+        return std::nullopt;
+    }
+    for (auto const& [rank, report] : reports) {
+        bool const same = report.group && report.group->epoch == first->second.group->epoch &&
+                          report.group->open && report.prepared_version == step.version;
+        if (!same) {
+            return std::nullopt;
+        }
+        bool const armed = report.armed && report.armed->version == step.version &&
+                           report.armed->pass == step.pass;
+        if (!armed) {
+            step.arm.push_back(rank);
+        }
+    }
+    step.release = step.arm.empty();
+    return step;
+}
+
 char const* name_of(switch_stage stage) {
     switch (stage) {
     case switch_stage::idle:
--- a/src/groupswitch.h
+++ b/src/groupswitch.h
@@ -149,4 +149,23 @@
 
 char const* name_of(switch_stage stage);
 
+/// What the engines of a group say of themselves, read by an agent that finds the group standing
+/// still: the coordinator, or the agent that should arm a rank, may be frozen or dead. By rank.
+using group_view_reports = std::map<unsigned, engine_report>;
+
+/// What an agent may order to complete a change that somebody else began.
+struct completion_step {
+    std::uint64_t version{0};
+    std::uint64_t pass{0};
+    std::vector<unsigned> arm; ///< ranks that are not armed yet
+    bool release{false};       ///< all are armed: rank 0 may release the pass
+};
+
+/// Decides how to complete a change from reports alone. A hold proves that every rank had prepared
+/// the map; the step is empty unless the reports still show it.
+/// @param reports the engines' reports; may be some hundred milliseconds old, since what is armed
+///        stays armed until the held pass begins
+/// @return orders to give, or nothing when there is nothing to complete
+std::optional<completion_step> completion_of(group_view_reports const& reports);
+
 } // namespace fireflycrank
--- a/src/rankagent.cpp
+++ b/src/rankagent.cpp
@@ -84,9 +84,11 @@
     auto const& group = agent.report->group;
     auto const name = group ? agent.settings.target_service + "/" + group->name : std::string{};
     auto const rank = group ? group->rank : 0;
-    if (self.group != name || self.rank != rank) {
+    auto const id = target_id(agent);
+    if (self.group != name || self.rank != rank || self.target_id != id) {
         self.group = name;
         self.rank = rank;
+        self.target_id = id;
         for (auto const& beat : due_beats(agent.subscriber, true, loop_now(agent.loop))) {
             agent.link->send(beat.to, beat_type, serialize(beat.message));
         }
@@ -191,6 +193,23 @@
     log_event(events::settings_reloaded, {{"seeds", agent.settings.seeds.size()}});
 }
 
+// Remembered beyond the directory's list, which drops an agent that is frozen.
+void note_engines(rank_agent& agent) {
+    auto const& self = agent.subscriber.self;
+    if (agent.engines_group != self.group) {
+        agent.engines.clear();
+        agent.engines_group = self.group;
+    }
+    for (auto const& [address, entry] :
+         listed_daemons(agent.subscriber, daemon_role::rank_agent, loop_now(agent.loop))) {
+        auto const target = agent.directory.targets.find(entry.target_id);
+        if (!self.group.empty() && entry.group == self.group &&
+            target != agent.directory.targets.end()) {
+            agent.engines[entry.rank] = target->second.said.address;
+        }
+    }
+}
+
 void start_periodic_work(rank_agent& agent) {
     run_every(agent.loop, tick_period, [&agent] {
         auto const at = loop_now(agent.loop);
@@ -198,6 +217,7 @@
             read_report(agent);
         }
         tick_switch(agent);
+        complete_stalled_switch(agent);
         return true;
     });
     run_every(agent.loop, counts_period, [&agent] {
@@ -215,6 +235,7 @@
     run_every(agent.loop, slow_period, [&agent] {
         forget_old(agent.directory, {}, loop_now(agent.loop));
         agent.metrics_listener->sweep();
+        note_engines(agent);
         ask_for_config(agent);
         return true;
     });
--- a/src/rankagent.h
+++ b/src/rankagent.h
@@ -62,6 +62,13 @@
     bool counting{false};
     bool listing{false};
 
+    // Completing a change that its coordinator does not complete.
+    std::map<unsigned, std::string> engines; ///< addresses of the group's engines by rank
+    std::string engines_group;
+    std::uint64_t last_pass{0};
+    time_point last_pass_at{}; ///< when `last_pass` was seen to begin
+    bool completing{false};
+
     // The coordinator's part; used on rank 0.
     std::optional<group_coordinator> coordinator;
     demand_window demand;
@@ -104,6 +111,10 @@
 /// @param instruction the instruction
 void on_instruction(rank_agent& agent, rank_instruction const& instruction);
 
+/// Completes a change of the map that holds the group up; call it every 50 ms or so.
+/// @param agent the agent
+void complete_stalled_switch(rank_agent& agent);
+
 /// Advances the coordinator; call it every 50 ms or so.
 /// @param agent the agent
 void tick_switch(rank_agent& agent);
--- a/src/rankswitch.cpp
+++ b/src/rankswitch.cpp
@@ -36,6 +36,12 @@
 constexpr unsigned ok_status = 200;
 constexpr unsigned accepted_status = 202;
 
+// A group that has work and begins no pass for this long stands still. Later ranks wait longer, so
+// that usually one agent acts.
+constexpr std::chrono::milliseconds standstill{300};
+constexpr std::chrono::milliseconds standstill_per_rank{80};
+constexpr std::chrono::milliseconds remote_limit{300};
+
 bool succeeded(std::optional<engine_answer> const& answer) {
     return answer && (answer->status == ok_status || answer->status == accepted_status);
 }
@@ -260,17 +266,17 @@
                                      {agent.traits->places, agent.traits->spare, copies});
     double const needed = agent.pass_time < easy_pass ? least_gain_at_ease : least_gain;
     bool const worth_it = planned.copies > 0 && planned.before - planned.after >= needed;
+    if (!worth_it) {
+        return;
+    }
     log_bounded(agent.loop, events::map_change_planned,
                 {{"group", coordinator.group},
                  {"epoch", coordinator.epoch},
                  {"skew_before", planned.before},
                  {"skew_after", planned.after},
                  {"copies", planned.copies},
-                 {"pass_ms", in_millis(agent.pass_time)},
-                 {"begun", worth_it}});
-    if (worth_it) {
-        begin_switch(coordinator, planned.map, next_below(agent.random, version_spread), at);
-    }
+                 {"pass_ms", in_millis(agent.pass_time)}});
+    begin_switch(coordinator, planned.map, next_below(agent.random, version_spread), at);
 }
 
 void order_hold(rank_agent& agent, std::uint64_t pass) {
@@ -334,6 +340,68 @@
                  {"held_ms", in_millis(coordinator.last_held)}});
 }
 
+// --- completing a change -----------------------------------------------------------------------
+
+void order_remote(rank_agent& agent, std::string const& address, platform::rank_order const& order,
+                  char const* name) {
+    call_engine(agent.loop, agent.pool, address, platform::encode_order_call(address, order),
+                remote_limit, [&agent, order, name](std::optional<engine_answer> answer) {
+                    log_order(agent, name, order.version, order.pass, answer);
+                });
+}
+
+void complete(rank_agent& agent, group_view_reports const& reports) {
+    auto const step = completion_of(reports);
+    if (!step || !agent.report || !agent.report->group) {
+        return;
+    }
+    log_bounded(agent.loop, events::map_change_completed,
+                {{"group", agent.subscriber.self.group},
+                 {"version", step->version},
+                 {"pass", step->pass},
+                 {"unarmed", step->arm.size()},
+                 {"release", step->release}});
+    platform::rank_order order;
+    order.epoch = agent.report->group->epoch;
+    order.fence = step->version;
+    order.version = step->version;
+    order.pass = step->pass;
+    order.kind = platform::rank_order_kind::arm;
+    for (auto const rank : step->arm) {
+        order_remote(agent, agent.engines.at(rank), order, "arm");
+    }
+    if (step->release) {
+        order.kind = platform::rank_order_kind::release;
+        order_remote(agent, agent.engines.at(0), order, "release");
+    }
+}
+
+// Reads all engines of the group and goes on when the last has answered or not.
+void read_group(rank_agent& agent) {
+    struct gathering {
+        group_view_reports reports;
+        std::size_t open{0};
+    };
+    agent.completing = true;
+    auto const gathered = std::make_shared<gathering>();
+    gathered->open = agent.engines.size();
+    for (auto const& [rank, address] : agent.engines) {
+        call_engine(agent.loop, agent.pool, address, platform::encode_report_call(address),
+                    remote_limit, [&agent, gathered, rank = rank](std::optional<engine_answer> got) {
+                        auto report = got && got->status == ok_status
+                                          ? platform::decode_report(got->body)
+                                          : std::nullopt;
+                        if (report && report->group && report->group->rank == rank) {
+                            gathered->reports[rank] = std::move(*report);
+                        }
+                        if (--gathered->open == 0) {
+                            agent.completing = false;
+                            complete(agent, gathered->reports);
+                        }
+                    });
+    }
+}
+
 void note_coordinator(rank_agent& agent) {
     bool const is_first = agent.report && agent.report->group && agent.report->group->rank == 0;
     if (!is_first) {
@@ -415,6 +483,28 @@
     order_own(agent, order, prepares ? "prepare" : "arm", {});
 }
 
+void complete_stalled_switch(rank_agent& agent) {
+    if (!agent.report || !agent.report->group) {
+        return;
+    }
+    auto const& report = *agent.report;
+    auto const at = loop_now(agent.loop);
+    if (report.pass != agent.last_pass || report.running == 0) {
+        agent.last_pass = report.pass;
+        agent.last_pass_at = at;
+        return;
+    }
+    bool const changing =
+        report.prepared_version != 0 && report.prepared_version != report.map_version;
+    auto const patience = standstill + standstill_per_rank * report.group->rank;
+    bool const complete_view = agent.engines.size() == report.group->size;
+    if (report.group->open && changing && complete_view && !agent.completing &&
+        at - agent.last_pass_at > patience) {
+        agent.busy_until = at + busy_span;
+        read_group(agent);
+    }
+}
+
 void tick_switch(rank_agent& agent) {
     if (!agent.coordinator) {
         return;
