Have a registrar order the hold of a pass

Cause: the machine that orders a hold may fail right after it. When that was the machine of rank 0, its rank could neither be armed nor released by anybody until it came back.

--- a/src/callqueue.cpp
+++ b/src/callqueue.cpp
@@ -29,7 +29,8 @@
     queued_call const* most_urgent = nullptr;
     for (auto const& call : found->second) {
         bool const on_time = call.on_time_until > now;
-        if (on_time && (most_urgent == nullptr || call.on_time_until < most_urgent->on_time_until)) {
+        if (on_time &&
+            (most_urgent == nullptr || call.on_time_until < most_urgent->on_time_until)) {
             most_urgent = &call;
         }
     }
--- a/src/callqueue.h
+++ b/src/callqueue.h
@@ -1,7 +1,7 @@
 /// @file
 /// Requests that wait at a gateway for a place at a target, and the order in which they get one.
-/// Waiting here instead of in a target's own queue keeps the order open: after a surge, requests that
-/// can still meet their objective go before those that have missed it. Pure.
+/// Waiting here instead of in a target's own queue keeps the order open: after a surge, requests
+/// that can still meet their objective go before those that have missed it. Pure.
 #pragma once
 
 #include "clock.h"
--- a/src/directorywire.cpp
+++ b/src/directorywire.cpp
@@ -342,4 +342,18 @@
     return plain;
 }
 
+std::string serialize(hold_request const& plain) {
+    wire::HoldRequest wired;
+    wired.set_engine_address(plain.engine_address);
+    wired.set_epoch(plain.epoch);
+    wired.set_version(plain.version);
+    wired.set_pass(plain.pass);
+    return wired.SerializeAsString();
+}
+
+result<hold_request> parse_hold_request(std::string_view bytes) {
+    BOOST_OUTCOME_TRY(wired, parse_as<wire::HoldRequest>(bytes));
+    return hold_request{wired.engine_address(), wired.epoch(), wired.version(), wired.pass()};
+}
+
 } // namespace fireflycrank
--- a/src/directorywire.h
+++ b/src/directorywire.h
@@ -23,6 +23,7 @@
 inline constexpr std::string_view engine_load_type = "dir.load";
 
 inline constexpr std::string_view rank_status_type = "dir.rank";
+inline constexpr std::string_view hold_request_type = "dir.hold";
 inline constexpr std::string_view rank_instruction_type = "dir.instruct";
 
 /// A registrar asks the others to record a departure before it is acknowledged.
@@ -95,4 +96,9 @@
 /// Parses an instruction.
 result<rank_instruction> parse_rank_instruction(std::string_view bytes);
 
+/// Serializes a request to hold a pass.
+std::string serialize(hold_request const& plain);
+/// Parses a request to hold a pass.
+result<hold_request> parse_hold_request(std::string_view bytes);
+
 } // namespace fireflycrank
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -37,9 +37,9 @@
 // for longer; what arrives meanwhile waits instead of using up the caller's retry.
 constexpr std::chrono::milliseconds config_wait{1'500};
 constexpr int config_wait_divisor = 3; // of the caller's time, so that a retry still has time
-// Part of a target's slots that streams fill while nobody is short of time. A pass takes longer with
-// each running stream, and with fewer of them a change in the demand for experts does not lengthen
-// it over the pause that callers accept.
+// Part of a target's slots that streams fill while nobody is short of time. A pass takes longer
+// with each running stream, and with fewer of them a change in the demand for experts does not
+// lengthen it over the pause that callers accept.
 constexpr double easy_share = 0.75;
 // Requests that a target may have beyond its slots for callers that are short of time: the next one
 // is there when a slot becomes free.
@@ -47,8 +47,8 @@
 constexpr std::chrono::milliseconds short_of_time{40};
 // Time from the send to the first event of a stream at a target with a free slot.
 constexpr std::chrono::milliseconds usual_first_event{150};
-// Callers abandon a stream after two seconds without an event; a refusal before that leaves them time
-// to come back.
+// Callers abandon a stream after two seconds without an event; a refusal before that leaves them
+// time to come back.
 constexpr std::chrono::milliseconds stream_patience{1'500};
 constexpr std::chrono::milliseconds plain_patience{350};
 constexpr int patience_divisor = 3; // of the caller's time
@@ -179,8 +179,8 @@
                                                                      loop_now(owner_.loop));
     }
 
-    // Whether the objective is missed already, counted from the caller's first attempt: a retry states
-    // less time than the route gives.
+    // Whether the objective is missed already, counted from the caller's first attempt: a retry
+    // states less time than the route gives.
     [[nodiscard]] bool is_late() const {
         return !progress_.answer_started && objective_ > duration::zero() &&
                loop_now(owner_.loop) - request_.began + spent_before() > objective_;
--- a/src/groupswitch.cpp
+++ b/src/groupswitch.cpp
@@ -59,7 +59,6 @@
 void advance_preparing(group_coordinator& coordinator, time_point now, group_actions& actions) {
     if (all_prepared(coordinator, coordinator.version) && all_fresh(coordinator, now)) {
         coordinator.pass = own_status(coordinator)->pass + lead_passes(coordinator);
-        coordinator.hold_confirmed = false;
         enter(coordinator, switch_stage::holding, now);
         return;
     }
@@ -81,7 +80,7 @@
 
 void advance_holding(group_coordinator& coordinator, time_point now, group_actions& actions) {
     auto const& own = *own_status(coordinator);
-    if (coordinator.hold_confirmed || own.held_pass == coordinator.pass) {
+    if (own.held_pass == coordinator.pass) {
         enter(coordinator, switch_stage::arming, now);
         return;
     }
@@ -201,12 +200,6 @@
     enter(coordinator, switch_stage::preparing, now);
 }
 
-void take_hold_answer(group_coordinator& coordinator, std::uint64_t pass, bool held) {
-    if (coordinator.stage == switch_stage::holding && coordinator.pass == pass && held) {
-        coordinator.hold_confirmed = true;
-    }
-}
-
 group_actions advance(group_coordinator& coordinator, time_point now) {
     group_actions actions;
     auto const* const own = own_status(coordinator);
--- a/src/groupswitch.h
+++ b/src/groupswitch.h
@@ -1,12 +1,13 @@
 /// @file
 /// Changes the expert map of a lock-step group whose engines offer prepare, arm, hold and release.
 ///
-/// The agent of rank 0 coordinates. It has all ranks prepare the map, holds its own rank before a
-/// pass, has all ranks arm the change for that pass, and releases the pass only when the engine of
-/// every rank reports that it is armed. It never takes an arm back: an order whose answer was lost
-/// may be carried out seconds later, so the only safe way out of a hold is forward. A pass that is
-/// released therefore begins with every rank on the new map, and a pass before it with every rank
-/// on the old one. Pure.
+/// The agent of rank 0 coordinates. It has all ranks prepare the map, has its own engine told by a
+/// registrar to hold a pass (whoever gives the hold may fail right after it, and the machines of
+/// the ranks are needed for what follows), has all ranks arm the change for that pass, and releases
+/// the pass only when the engine of every rank reports that it is armed. It never takes an arm
+/// back: an order whose answer was lost may be carried out seconds later, so the only safe way out
+/// of a hold is forward. A pass that is released therefore begins with every rank on the new map,
+/// and a pass before it with every rank on the old one. Pure.
 #pragma once
 
 #include "clock.h"
@@ -53,6 +54,14 @@
     group_experts map;     ///< prepare
 };
 
+/// A coordinator's request that another process orders its engine to hold a pass.
+struct hold_request {
+    std::string engine_address;
+    std::uint64_t epoch{0};
+    std::uint64_t version{0};
+    std::uint64_t pass{0};
+};
+
 enum class switch_stage : std::uint8_t {
     idle,
     preparing, ///< ranks copy what they lack
@@ -96,8 +105,7 @@
     std::uint64_t version{0};
     group_experts map;
     std::uint64_t pass{0}; ///< held and armed
-    bool hold_confirmed{false};
-    time_point since{}; ///< begin of the stage
+    time_point since{};    ///< begin of the stage
     time_point resend_at{};
     time_point own_resend_at{};
     std::uint64_t completed{0};
@@ -109,7 +117,7 @@
 /// What the coordinator does next.
 struct group_actions {
     std::vector<rank_instruction> instructions;
-    std::optional<std::uint64_t> hold;    ///< order the own rank to hold this pass
+    std::optional<std::uint64_t> hold;    ///< have a registrar order the own rank to hold this pass
     std::optional<std::uint64_t> release; ///< order the own rank to release this pass
 };
 
@@ -135,12 +143,6 @@
 void begin_switch(group_coordinator& coordinator, group_experts map, std::uint64_t above,
                   time_point now);
 
-/// Notes the answer to an order to hold.
-/// @param coordinator the state
-/// @param pass the pass that was to be held
-/// @param held whether the engine holds it
-void take_hold_answer(group_coordinator& coordinator, std::uint64_t pass, bool held);
-
 /// Decides what to do; called after each status and at a short period.
 /// @param coordinator the state
 /// @param now the time
--- a/src/rankswitch.cpp
+++ b/src/rankswitch.cpp
@@ -279,18 +279,26 @@
     begin_switch(coordinator, planned.map, next_below(agent.random, version_spread), at);
 }
 
-void order_hold(rank_agent& agent, std::uint64_t pass) {
-    platform::rank_order order;
-    order.kind = platform::rank_order_kind::hold;
-    order.epoch = agent.coordinator->epoch;
-    order.fence = agent.coordinator->version;
-    order.pass = pass;
-    order_own(agent, order, "hold", [&agent, pass](bool held) {
-        if (agent.coordinator) {
-            take_hold_answer(*agent.coordinator, pass, held);
-            tick_switch(agent);
+// A registrar that answered lately; another one each time.
+std::string next_registrar(rank_agent& agent) {
+    auto const at = loop_now(agent.loop);
+    std::vector<std::string> live;
+    for (auto const& [address, contact] : agent.subscriber.registrars) {
+        if (at - contact.heard_at < agent.subscriber.settings.update_life) {
+            live.push_back(address);
         }
-    });
+    }
+    return live.empty() ? std::string{} : live[next_below(agent.random, live.size())];
+}
+
+void request_hold(rank_agent& agent, std::uint64_t pass) {
+    auto const registrar = next_registrar(agent);
+    if (registrar.empty()) {
+        return; // asked again with the next resend
+    }
+    hold_request const request{agent.settings.target_address, agent.coordinator->epoch,
+                               agent.coordinator->version, pass};
+    agent.link->send(registrar, hold_request_type, serialize(request));
 }
 
 void order_release(rank_agent& agent, std::uint64_t pass) {
@@ -316,7 +324,7 @@
         }
     }
     if (actions.hold) {
-        order_hold(agent, *actions.hold);
+        request_hold(agent, *actions.hold);
     }
     if (actions.release) {
         order_release(agent, *actions.release);
@@ -387,7 +395,8 @@
     gathered->open = agent.engines.size();
     for (auto const& [rank, address] : agent.engines) {
         call_engine(agent.loop, agent.pool, address, platform::encode_report_call(address),
-                    remote_limit, [&agent, gathered, rank = rank](std::optional<engine_answer> got) {
+                    remote_limit,
+                    [&agent, gathered, rank = rank](std::optional<engine_answer> got) {
                         auto report = got && got->status == ok_status
                                           ? platform::decode_report(got->body)
                                           : std::nullopt;
--- a/src/registrar.cpp
+++ b/src/registrar.cpp
@@ -5,12 +5,14 @@
 #include "departures.h"
 #include "directorysync.h"
 #include "directorywire.h"
+#include "engineclient.h"
 #include "peeraddress.h"
 #include "peerlink.h"
-#include "platform/callheaders.h"
+#include "platform/enginecalls.h"
 #include "platform/operatorconfig.h"
 #include "serviceconfig.h"
 #include "servicetable.h"
+#include "targetpool.h"
 
 #include <algorithm>
 
@@ -29,6 +31,7 @@
 // An operator's call is given up by then; it sends the same again.
 constexpr std::chrono::milliseconds operator_patience{1'500};
 constexpr std::chrono::milliseconds stop_delay{300};
+constexpr std::chrono::milliseconds hold_limit{300};
 constexpr std::size_t max_operator_body = 16U << 20U;
 
 // A core VM has a small part of a processor, so the timers are slower than the product's own.
@@ -55,7 +58,8 @@
 };
 
 struct registrar_daemon {
-    explicit registrar_daemon(vm_settings configured) : settings{std::move(configured)} {}
+    explicit registrar_daemon(vm_settings configured)
+        : settings{std::move(configured)}, pool{loop.context, loop.clock} {}
 
     event_loop loop;
     vm_settings settings;
@@ -64,6 +68,7 @@
     std::uint64_t run{0};
     std::shared_ptr<metrics_registry> metrics = make_metrics();
     std::shared_ptr<peer_link> link;
+    target_pool pool; ///< to engines, for holds
     std::shared_ptr<http_listener> control;
     std::shared_ptr<http_listener> metrics_listener;
 
@@ -534,6 +539,25 @@
     }
 }
 
+// For the coordinator of an expert group; it sees the effect in its engine's report.
+void on_hold_request(registrar_daemon& daemon, hold_request const& request) {
+    platform::rank_order order;
+    order.kind = platform::rank_order_kind::hold;
+    order.epoch = request.epoch;
+    order.fence = request.version;
+    order.pass = request.pass;
+    call_engine(daemon.loop, daemon.pool, request.engine_address,
+                platform::encode_order_call(request.engine_address, order), hold_limit,
+                [&daemon, request](std::optional<engine_answer> answer) {
+                    log_bounded(daemon.loop, events::rank_order_ended,
+                                {{"operation", "hold"},
+                                 {"engine", request.engine_address},
+                                 {"version", request.version},
+                                 {"pass", request.pass},
+                                 {"status", answer ? answer->status : 0}});
+                });
+}
+
 bool dispatch(registrar_daemon& daemon, peer_message const& message) {
     if (message.type == consensus_message_type) {
         bool const parsed =
@@ -561,6 +585,10 @@
         auto const above = parse_configuration_request(message.body);
         return above && (on_configuration_request(daemon, message.sender, above.value()), true);
     }
+    if (message.type == hold_request_type) {
+        auto const request = parse_hold_request(message.body);
+        return request && (on_hold_request(daemon, request.value()), true);
+    }
     return false;
 }
 
@@ -604,6 +632,7 @@
 void start_periodic_work(registrar_daemon& daemon) {
     run_every(daemon.loop, tick_period, [&daemon] {
         daemon.link->tick();
+        daemon.pool.sweep();
         tick_replica(daemon);
         send_beats(daemon);
         advance_departures(daemon);
