--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -388,6 +388,12 @@
             first_event_at_ = loop_now(owner_.loop);
             writer_->start(head_.status, head_.reason, platform::encode_caller_fields(head_));
         }
+        auto const at = loop_now(owner_.loop);
+        if (last_event_at_ != time_point{} && at - last_event_at_ > longest_pause_) {
+            longest_pause_ = at - last_event_at_;
+            paused_at_ = last_event_at_;
+        }
+        last_event_at_ = at;
         writer_->write(events);
     }
 
@@ -606,6 +612,8 @@
         if (first_event_at_ != time_point{}) {
             fields.emplace_back("first_event_ms", in_millis(first_event_at_ - request_.began));
             fields.emplace_back("events", splitter_.events);
+            fields.emplace_back("longest_pause_ms", in_millis(longest_pause_));
+            fields.emplace_back("paused_after_ms", in_millis(paused_at_ - request_.began));
         }
         log_bounded(owner_.loop, kind, fields);
     }
@@ -633,6 +641,9 @@
     time_point give_up_at_{};
     time_point sent_at_{};
     time_point first_event_at_{};
+    time_point last_event_at_{};
+    time_point paused_at_{}; ///< begin of the longest pause between events
+    duration longest_pause_{};
     std::vector<std::string> tried_;
     std::string target_;
     bool running_{false};
--- a/src/rankagent.h
+++ b/src/rankagent.h
@@ -27,6 +27,7 @@
 struct demand_window {
     expert_demand demand; ///< decayed counts by set and expert
     time_point updated_at{};
+    std::chrono::duration<double> half_life{1};
 };
 
 /// The state of a rank agent.
@@ -71,7 +72,8 @@
 
     // The coordinator's part; used on rank 0.
     std::optional<group_coordinator> coordinator;
-    demand_window demand;
+    demand_window steady_demand; ///< over a second: little noise
+    demand_window fresh_demand;  ///< over a few passes: shows a sudden change first
     time_point plan_at{};
     duration pass_time{}; ///< smoothed, of passes with work
     std::uint64_t timed_pass{0};
--- a/src/rankswitch.cpp
+++ b/src/rankswitch.cpp
@@ -14,9 +14,12 @@
 constexpr std::chrono::milliseconds counts_limit{500};
 constexpr std::chrono::milliseconds busy_span{1'500};
 // Time in which old choices lose half of their weight. Demand changes within seconds.
-constexpr std::chrono::duration<double> demand_half_life{0.5};
-// Choices in the window before a plan; fewer are noise.
+constexpr std::chrono::duration<double> steady_half_life{0.6};
+constexpr std::chrono::duration<double> fresh_half_life{0.12};
+// Choices of one set in a window before a plan; fewer are noise.
 constexpr double least_choices = 300;
+// The fresh window decides when it shows this much more imbalance: demand has changed suddenly.
+constexpr double sudden_skew = 0.3;
 // Pause between the end of one change and the next plan.
 constexpr std::chrono::milliseconds plan_pause{100};
 // A change must lower the most loaded rank by this part of the mean; copies are priced.
@@ -180,40 +183,38 @@
 
 // --- coordinator -------------------------------------------------------------------------------
 
-void decay_demand(rank_agent& agent) {
-    auto const at = loop_now(agent.loop);
-    auto const span = std::chrono::duration<double>{at - agent.demand.updated_at};
-    double const kept = std::exp2(-(span / demand_half_life));
-    agent.demand.updated_at = at;
-    for (auto& set : agent.demand.demand) {
+void decay_demand(demand_window& window, time_point at) {
+    auto const span = std::chrono::duration<double>{at - window.updated_at};
+    double const kept = std::exp2(-(span / window.half_life));
+    window.updated_at = at;
+    for (auto& set : window.demand) {
         for (double& one : set) {
             one *= kept;
         }
     }
 }
 
-void add_demand(rank_agent& agent, rank_status const& status) {
+void add_demand(demand_window& window, rank_status const& status, time_point at) {
     if (status.sets == 0 || status.counts.empty() || status.counts.size() % status.sets != 0) {
         return;
     }
     auto const experts = status.counts.size() / status.sets;
-    auto& demand = agent.demand.demand;
+    auto& demand = window.demand;
     if (demand.size() != status.sets || demand.front().size() != experts) {
         demand.assign(status.sets, std::vector<double>(experts, 0.0));
     }
-    decay_demand(agent);
-    for (std::size_t at = 0; at < status.counts.size(); ++at) {
-        demand[at / experts][at % experts] += static_cast<double>(status.counts[at]);
+    decay_demand(window, at);
+    for (std::size_t one = 0; one < status.counts.size(); ++one) {
+        demand[one / experts][one % experts] += static_cast<double>(status.counts[one]);
     }
 }
 
-bool has_demand(rank_agent const& agent) {
-    auto const& demand = agent.demand.demand;
-    if (demand.empty()) {
+bool has_demand(demand_window const& window) {
+    if (window.demand.empty()) {
         return false;
     }
     double total = 0;
-    for (double const one : demand.front()) {
+    for (double const one : window.demand.front()) {
         total += one;
     }
     return total >= least_choices;
@@ -249,21 +250,31 @@
     return true;
 }
 
+expert_demand const& current_demand(rank_agent const& agent, group_experts const& present) {
+    auto const& steady = agent.steady_demand.demand;
+    auto const& fresh = agent.fresh_demand.demand;
+    bool const sudden = has_demand(agent.fresh_demand) &&
+                        place_skew(present, fresh) > place_skew(present, steady) + sudden_skew;
+    return sudden ? fresh : steady;
+}
+
 void plan(rank_agent& agent) {
     auto& coordinator = *agent.coordinator;
     auto const at = loop_now(agent.loop);
-    if (at < agent.plan_at || !agent.traits || !may_begin(coordinator, at) || !has_demand(agent)) {
+    if (at < agent.plan_at || !agent.traits || !may_begin(coordinator, at) ||
+        !has_demand(agent.steady_demand)) {
         return;
     }
     agent.plan_at = at + plan_pause;
     auto const present = present_map(coordinator);
-    if (!is_whole(present, agent.demand.demand)) {
+    if (!is_whole(present, agent.steady_demand.demand)) {
         return;
     }
-    auto const copies =
-        place_skew(present, agent.demand.demand) > great_skew ? many_copies : few_copies;
-    auto const planned = plan_places(present, agent.demand.demand,
-                                     {agent.traits->places, agent.traits->spare, copies});
+    auto const& demand = current_demand(agent, present);
+    bool const sudden = &demand == &agent.fresh_demand.demand;
+    auto const copies = place_skew(present, demand) > great_skew ? many_copies : few_copies;
+    auto const planned =
+        plan_places(present, demand, {agent.traits->places, agent.traits->spare, copies});
     double const needed = agent.pass_time < easy_pass ? least_gain_at_ease : least_gain;
     bool const worth_it = planned.copies > 0 && planned.before - planned.after >= needed;
     if (!worth_it) {
@@ -274,6 +285,7 @@
                  {"epoch", coordinator.epoch},
                  {"skew_before", planned.before},
                  {"skew_after", planned.after},
+                 {"sudden", sudden},
                  {"copies", planned.copies},
                  {"pass_ms", in_millis(agent.pass_time)}});
     begin_switch(coordinator, planned.map, next_below(agent.random, version_spread), at);
@@ -441,6 +453,7 @@
                     }
                     if (auto const counts = platform::decode_counts(answer->body)) {
                         add_counts(agent, *counts);
+                        send_status(agent);
                     }
                 });
 }
@@ -468,7 +481,11 @@
         return;
     }
     take_status(*agent.coordinator, status, from, loop_now(agent.loop));
-    add_demand(agent, status);
+    auto const at = loop_now(agent.loop);
+    agent.steady_demand.half_life = steady_half_life;
+    agent.fresh_demand.half_life = fresh_half_life;
+    add_demand(agent.steady_demand, status, at);
+    add_demand(agent.fresh_demand, status, at);
     tick_switch(agent);
 }
 
