Offer refused requests again and treat a group as slow as its slowest rank

A target that refused may be asked again; a refusal with free slots marks the whole group as closed, so that requests wait at the gateway until it reports otherwise.

--- a/src/callplan.h
+++ b/src/callplan.h
@@ -24,7 +24,9 @@
     call_kind kind{call_kind::once};
     bool resumable{false};
     unsigned max_attempts{1};
-    unsigned sent{0};           ///< targets that the request was sent to
+    unsigned sent{0};           ///< different targets that the request was sent to
+    unsigned offers{0};         ///< sends, also repeated ones to a target that refused
+    bool may_reoffer{false};    ///< a target that refused may be asked again
     unsigned unconnected{0};    ///< attempts that sent nothing
     bool may_have_run{false};   ///< some target may have run it
     bool answer_started{false}; ///< the caller has a part of the answer
@@ -43,7 +45,7 @@
 bool may_run_again(call_progress const& progress);
 
 /// Decides after an attempt has ended. Notes in `progress` whether the request may have run.
-/// @param progress the request; `sent` and `unconnected` count the ended attempt
+/// @param progress the request; `sent`, `offers` and `unconnected` count the ended attempt
 /// @param end how it ended
 /// @param time_left whether a further attempt could still be answered in time
 /// @param take_budget takes one repeated send out of the retry budget; called only when needed
@@ -55,15 +57,18 @@
 /// Attempts that sent nothing before the request is given up.
 inline constexpr unsigned max_unconnected = 4;
 
+/// Sends of one request at most, refused ones included; each counts in the retry budget.
+inline constexpr unsigned max_offers = 5;
+
 template <class take_budget_function>
 call_step after_attempt(call_progress& progress, attempt_end end, bool time_left,
                         take_budget_function&& take_budget) {
     progress.may_have_run =
         progress.may_have_run || end == attempt_end::lost || end == attempt_end::broken;
     bool const harmless = !progress.may_have_run || may_run_again(progress);
-    bool const places =
-        progress.sent < progress.max_attempts && progress.unconnected < max_unconnected;
-    bool const free_of_charge = progress.sent == 0; // the first send is no repeat
+    bool const places = (progress.sent < progress.max_attempts || progress.may_reoffer) &&
+                        progress.unconnected < max_unconnected && progress.offers < max_offers;
+    bool const free_of_charge = progress.offers == 0; // the first send is no repeat
     if (harmless && places && time_left && (free_of_charge || take_budget())) {
         return call_step::try_another;
     }
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -196,7 +196,12 @@
     }
 
     [[nodiscard]] target_choice choose() const {
-        return choose_target(owner_.targets, service_, owner_.settings.zone, tried_, owner_.choice,
+        target_filter filter;
+        filter.excluded = excluded_;
+        if (sent_to_.size() >= progress_.max_attempts) {
+            filter.only = sent_to_;
+        }
+        return choose_target(owner_.targets, service_, owner_.settings.zone, filter, owner_.choice,
                              owner_.random, loop_now(owner_.loop));
     }
 
@@ -272,7 +277,8 @@
     void lose_patience() {
         auto const choice = choose();
         leave_queue();
-        if (progress_.kind != call_kind::stream && !choice.id.empty()) {
+        bool const untried = progress_.offers == 0 && progress_.unconnected == 0;
+        if (progress_.kind != call_kind::stream && untried && !choice.id.empty()) {
             send(choice); // a doubtful target is better than none
             return;
         }
@@ -285,7 +291,7 @@
     void send(target_choice const& choice) {
         auto const at = loop_now(owner_.loop);
         target_ = choice.id;
-        tried_.push_back(target_);
+        ++offers_;
         auto& chosen = owner_.targets.at(target_);
         ++chosen.own_running;
         running_ = true;
@@ -296,7 +302,7 @@
                     {{"call", call_.attempt_id},
                      {"route", route_},
                      {"version", version_},
-                     {"attempt", tried_.size()},
+                     {"attempt", offers_},
                      {"target", target_},
                      {"load", choice.load},
                      {"slots", choice.slots},
@@ -494,14 +500,37 @@
             known->said.condition = target_condition::gone;
             return;
         }
-        if (!answer_->at_fault.empty()) {
+        // A full target says so in its load; one with free slots refuses because its group does not
+        // work, or because it fails.
+        bool const full = answer_->load && answer_->load->running >= answer_->load->slots;
+        if (!full) {
             note_failure(*known, owner_.choice, loop_now(owner_.loop));
+            note_group_closed(owner_.targets, target_, loop_now(owner_.loop));
+        }
+    }
+
+    void count_attempt(attempt_end end) {
+        if (end == attempt_end::not_connected) {
+            ++progress_.unconnected;
+            return;
+        }
+        ++progress_.offers;
+        bool const first = std::find(sent_to_.begin(), sent_to_.end(), target_) == sent_to_.end();
+        if (first) {
+            sent_to_.push_back(target_);
         }
+        if (end != attempt_end::refused) {
+            excluded_.push_back(target_);
+        }
+        progress_.sent = static_cast<unsigned>(sent_to_.size());
+        progress_.may_reoffer =
+            std::any_of(sent_to_.begin(), sent_to_.end(), [&](std::string const& id) {
+                return std::find(excluded_.begin(), excluded_.end(), id) == excluded_.end();
+            });
     }
 
     void after(attempt_end end) {
-        progress_.sent += end == attempt_end::not_connected ? 0 : 1;
-        progress_.unconnected += end == attempt_end::not_connected ? 1 : 0;
+        count_attempt(end);
         drop_partial(splitter_);
         auto const step = after_attempt(progress_, end, time_left() > least_time_left, [this] {
             return take_repeat(owner_.ledgers[service_], owner_.bound, gateways(),
@@ -607,7 +636,7 @@
             {"call", call_.attempt_id}, {"route", route_},
             {"service", service_},      {"team", team_},
             {"version", version_},      {"status", status},
-            {"reason", reason},         {"attempts", tried_.size()},
+            {"reason", reason},         {"attempts", offers_},
             {"target", target_},        {"took_ms", in_millis(at - request_.began)}};
         if (first_event_at_ != time_point{}) {
             fields.emplace_back("first_event_ms", in_millis(first_event_at_ - request_.began));
@@ -644,7 +673,9 @@
     time_point last_event_at_{};
     time_point paused_at_{}; ///< begin of the longest pause between events
     duration longest_pause_{};
-    std::vector<std::string> tried_;
+    std::vector<std::string> sent_to_;  ///< targets that were offered the request
+    std::vector<std::string> excluded_; ///< of these, those that may not be asked again
+    unsigned offers_{0};
     std::string target_;
     bool running_{false};
     bool ended_{false};
--- a/src/targetchoice.cpp
+++ b/src/targetchoice.cpp
@@ -6,14 +6,33 @@
 
 namespace {
 
-bool is_excluded(std::vector<std::string> const& tried, std::string const& id) {
-    return std::find(tried.begin(), tried.end(), id) != tried.end();
+bool contains(std::vector<std::string> const& ids, std::string const& id) {
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-// Lower is better: sound targets first, then avoided ones, then those that are probably gone.
-int doubt(target_view const& view, choice_settings const& settings, time_point now) {
-    bool const group_closed =
+bool passes(target_filter const& filter, std::string const& id) {
+    return !contains(filter.excluded, id) && (filter.only.empty() || contains(filter.only, id));
+}
+
+// All ranks of a group wait for the slowest one.
+std::map<std::string, double> group_paces(std::map<std::string, target_view> const& targets) {
+    std::map<std::string, double> paces;
+    for (auto const& [id, view] : targets) {
+        if (view.group && view.load) {
+            auto& pace = paces[view.group->name];
+            pace = std::max(pace, view.load->pace);
+        }
+    }
+    return paces;
+}
+
+// Lower is better: sound targets first, then avoided ones, then those that are probably gone. Where
+// targets work in groups, one whose group is unknown is avoided.
+int doubt(target_view const& view, bool in_groups, choice_settings const& settings,
+          time_point now) {
+    bool const closed_lately =
         view.group && !view.group->open && now - view.group->reported_at < settings.report_life;
+    bool const group_closed = view.group ? closed_lately : in_groups;
     if (now - view.heard_at > settings.silent_after || !view.answering) {
         return 2;
     }
@@ -40,19 +59,26 @@
 
 target_choice choose_target(std::map<std::string, target_view> const& targets,
                             std::string const& service, std::string const& zone,
-                            std::vector<std::string> const& tried, choice_settings const& settings,
+                            target_filter const& filter, choice_settings const& settings,
                             rng& random, time_point now) {
     std::vector<scored_target> scored;
+    auto const paces = group_paces(targets);
+    bool const in_groups = std::any_of(targets.begin(), targets.end(), [&](auto const& entry) {
+        return entry.second.said.service == service && entry.second.group;
+    });
     for (auto const& [id, view] : targets) {
         if (view.said.service != service || view.said.condition != target_condition::ready ||
-            is_excluded(tried, id)) {
+            !passes(filter, id)) {
             continue;
         }
-        scored_target one{&view, doubt(view, settings, now), estimated_load(view, settings, now),
-                          0};
+        scored_target one{&view, doubt(view, in_groups, settings, now),
+                          estimated_load(view, settings, now), 0};
         auto const slots = std::max(1.0, static_cast<double>(view.said.slots));
-        auto const pace = view.load ? std::max(1.0, view.load->pace) : 1.0;
-        one.cost = (one.load + (view.said.zone == zone ? 0.0 : settings.other_zone)) * pace / slots;
+        auto const found = view.group ? paces.find(view.group->name) : paces.end();
+        auto const own_pace = view.load ? view.load->pace : 1.0;
+        auto const pace = std::max(1.0, found == paces.end() ? own_pace : found->second);
+        auto const farther = view.said.zone == zone ? 0.0 : settings.other_zone;
+        one.cost = ((one.load + 1.0) * pace + farther) / slots;
         scored.push_back(one);
     }
     target_choice choice;
@@ -81,6 +107,21 @@
     return choice;
 }
 
+void note_group_closed(std::map<std::string, target_view>& targets, std::string const& of,
+                       time_point now) {
+    auto const found = targets.find(of);
+    if (found == targets.end() || !found->second.group) {
+        return;
+    }
+    auto const name = found->second.group->name;
+    for (auto& [id, view] : targets) {
+        if (view.group && view.group->name == name) {
+            view.group->open = false;
+            view.group->reported_at = now;
+        }
+    }
+}
+
 void note_failure(target_view& view, choice_settings const& settings, time_point now) {
     constexpr unsigned most_doublings = 6;
     auto const pause = settings.first_pause * (1U << std::min(view.failures, most_doublings));
--- a/src/targetchoice.h
+++ b/src/targetchoice.h
@@ -24,6 +24,12 @@
     double pace{1.0};     ///< over 1 when the target is slow
 };
 
+/// Targets that a request may not or only be sent to.
+struct target_filter {
+    std::vector<std::string> excluded;
+    std::vector<std::string> only; ///< empty: all
+};
+
 /// A target's place in a group that works in lock-step.
 struct group_place {
     std::string name;
@@ -80,16 +86,23 @@
 /// @param targets all targets by id
 /// @param service the service
 /// @param zone this gateway's availability zone
-/// @param tried targets that the request was already sent to
+/// @param filter targets that the request may not, or only, be sent to
 /// @param settings weights and times
 /// @param random breaks ties
 /// @param now the time
 /// @return the choice
 target_choice choose_target(std::map<std::string, target_view> const& targets,
                             std::string const& service, std::string const& zone,
-                            std::vector<std::string> const& tried, choice_settings const& settings,
+                            target_filter const& filter, choice_settings const& settings,
                             rng& random, time_point now);
 
+/// Notes that a group does not work now, as one of its targets said.
+/// @param targets all targets by id
+/// @param of a target of the group
+/// @param now the time
+void note_group_closed(std::map<std::string, target_view>& targets, std::string const& of,
+                       time_point now);
+
 /// Notes that a target failed to serve; it is avoided for a growing pause.
 /// @param view the target
 /// @param settings the pauses
--- a/tests/gateway_load_test.cpp
+++ b/tests/gateway_load_test.cpp
@@ -167,6 +167,20 @@
     CHECK_FALSE(last.sound);
 }
 
+// Pattern: one rank of a group is slow; the whole group is, whatever its other ranks report.
+TEST_CASE("a group is as slow as its slowest rank") {
+    auto fleet = make_fleet(4, 12);
+    rng random{4};
+    for (auto& [id, view] : fleet) {
+        bool const first = id < "t102";
+        view.group = group_place{first ? "g0" : "g1", 1, 0, true, at_ms(0)};
+        view.load = load_sample{at_ms(0), first ? 0U : 4U, 0, 0, id == "t100" ? 8.0 : 1.0};
+    }
+    CHECK(choose_target(fleet, "s", "z0", {}, {}, random, at_ms(50)).id >= "t102");
+    note_group_closed(fleet, "t103", at_ms(60));
+    CHECK(choose_target(fleet, "s", "z0", {}, {}, random, at_ms(70)).id < "t102");
+}
+
 // Pattern: a target fails again and again. Each failure doubles the pause up to a bound, and
 // success ends it.
 TEST_CASE("a failing target is avoided for longer and longer") {
--- a/tests/gateway_switch_test.cpp
+++ b/tests/gateway_switch_test.cpp
@@ -324,8 +324,9 @@
     CHECK(completions > 0);
 }
 
-// Seed 8074: after a restart of all agents, a late order to prepare an older map had the higher version
-// and displaced the prepared map of a rank that was not armed yet; the group was held for ever.
+// Seed 8074: after a restart of all agents, a late order to prepare an older map had the higher
+// version and displaced the prepared map of a rank that was not armed yet; the group was held for
+// ever.
 TEST_CASE("seeds that failed") {
     for (std::uint64_t const seed : {8074}) {
         world here{seed};
