Confirm holds and arms at once, and lead by three passes

Cause: the coordinator saw a hold up to 50 ms late, and a rank whose report was just being read told of its arming with the next one; the held pass was reached before all ranks were armed, and all streams of the group had a pause over 120 ms.

--- a/src/directorywire.h
+++ b/src/directorywire.h
@@ -24,6 +24,7 @@
 
 inline constexpr std::string_view rank_status_type = "dir.rank";
 inline constexpr std::string_view hold_request_type = "dir.hold";
+inline constexpr std::string_view hold_answered_type = "dir.holdanswered"; // carries the request
 inline constexpr std::string_view rank_instruction_type = "dir.instruct";
 
 /// A registrar asks the others to record a departure before it is acknowledged.
--- a/src/groupswitch.h
+++ b/src/groupswitch.h
@@ -81,9 +81,9 @@
     duration prepare_limit{std::chrono::seconds{6}};
     /// Statuses must be this fresh before a hold: an agent that is down would stop the group.
     duration status_life{std::chrono::milliseconds{600}};
-    /// Passes between the newest report and the held one. A pass takes about as long as hold, arm
-    /// and release together when no order is lost.
-    std::uint64_t lead_passes{2};
+    /// Passes between the newest report and the held one. The report may be a pass old, and a pass
+    /// takes about as long as hold, arm and release together when no order is lost.
+    std::uint64_t lead_passes{3};
     /// While orders are being lost, one more pass for each such span that arming took lately.
     duration lead_span{std::chrono::milliseconds{40}};
     std::uint64_t most_lead_passes{8};
--- a/src/rankagent.cpp
+++ b/src/rankagent.cpp
@@ -168,6 +168,10 @@
         auto const status = parse_rank_status(message.body);
         return status && (on_rank_status(agent, status.value(), message.sender), true);
     }
+    if (message.type == hold_answered_type) {
+        read_report(agent);
+        return true;
+    }
     if (message.type == rank_instruction_type) {
         auto const instruction = parse_rank_instruction(message.body);
         return instruction && (on_instruction(agent, instruction.value()), true);
@@ -213,7 +217,9 @@
 void start_periodic_work(rank_agent& agent) {
     run_every(agent.loop, tick_period, [&agent] {
         auto const at = loop_now(agent.loop);
-        if (at < agent.busy_until || at - agent.reported_at >= report_period - tick_period) {
+        bool const due =
+            at < agent.busy_until || at - agent.reported_at >= report_period - tick_period;
+        if (due && !agent.reading) {
             read_report(agent);
         }
         tick_switch(agent);
@@ -257,9 +263,11 @@
 
 void read_report(rank_agent& agent) {
     if (agent.reading) {
+        agent.read_again = true;
         return;
     }
     agent.reading = true;
+    agent.read_again = false;
     auto const& address = agent.settings.target_address;
     call_engine(agent.loop, agent.pool, address, platform::encode_report_call(address),
                 report_limit, [&agent](std::optional<engine_answer> answer) {
@@ -273,6 +281,9 @@
                         agent.reported_at = loop_now(agent.loop);
                     }
                     send_load(agent);
+                    if (std::exchange(agent.read_again, false) && answered) {
+                        read_report(agent);
+                    }
                 });
 }
 
--- a/src/rankagent.h
+++ b/src/rankagent.h
@@ -48,6 +48,7 @@
     std::optional<engine_report> report;
     time_point reported_at{};
     bool reading{false};
+    bool read_again{false}; ///< something changed while a report was being read
     bool answering{true};
     std::uint64_t loads_sent{0};
     time_point busy_until{}; ///< a map change is under way: reports are read more often
--- a/src/registrar.cpp
+++ b/src/registrar.cpp
@@ -540,7 +540,8 @@
 }
 
 // For the coordinator of an expert group; it sees the effect in its engine's report.
-void on_hold_request(registrar_daemon& daemon, hold_request const& request) {
+void on_hold_request(registrar_daemon& daemon, std::string const& from,
+                     hold_request const& request) {
     platform::rank_order order;
     order.kind = platform::rank_order_kind::hold;
     order.epoch = request.epoch;
@@ -548,7 +549,8 @@
     order.pass = request.pass;
     call_engine(daemon.loop, daemon.pool, request.engine_address,
                 platform::encode_order_call(request.engine_address, order), hold_limit,
-                [&daemon, request](std::optional<engine_answer> answer) {
+                [&daemon, from, request](std::optional<engine_answer> answer) {
+                    daemon.link->send(from, hold_answered_type, serialize(request));
                     log_bounded(daemon.loop, events::rank_order_ended,
                                 {{"operation", "hold"},
                                  {"engine", request.engine_address},
@@ -587,7 +589,7 @@
     }
     if (message.type == hold_request_type) {
         auto const request = parse_hold_request(message.body);
-        return request && (on_hold_request(daemon, request.value()), true);
+        return request && (on_hold_request(daemon, message.sender, request.value()), true);
     }
     return false;
 }
