--- a/src/directorysync.cpp
+++ b/src/directorysync.cpp
@@ -32,7 +32,9 @@
         if (address == subscriber.self.address || (!at_once && now < contact.next_beat)) {
             continue;
         }
-        contact.next_beat = now + subscriber.settings.beat_period;
+        contact.next_beat = now + (subscriber.self.role == daemon_role::rank_agent
+                                       ? subscriber.settings.agent_beat_period
+                                       : subscriber.settings.beat_period);
         beats.push_back(
             {address,
              {subscriber.self, contact.run, contact.change, contact.daemons_revision, known}});
@@ -49,10 +51,16 @@
     }
     contact.run = update.registrar_run;
     contact.change = std::max(contact.change, update.change);
-    if (update.has_daemons && update.daemons_revision >= contact.daemons_revision) {
-        contact.daemons_revision = update.daemons_revision;
-        contact.daemons = update.daemons;
+    if (update.all_daemons) {
+        contact.daemons.clear();
     }
+    for (auto const& entry : update.daemons) {
+        contact.daemons[entry.address] = entry;
+    }
+    for (auto const& address : update.gone_daemons) {
+        contact.daemons.erase(address);
+    }
+    contact.daemons_revision = std::max(contact.daemons_revision, update.daemons_revision);
     contact.config_version = update.config_version;
     contact.confirmed = update.confirmed;
     contact.heard_at = now;
@@ -67,10 +75,14 @@
                                                    daemon_role role, time_point now) {
     std::map<std::string, daemon_entry> listed;
     for (auto const& [address, contact] : subscriber.registrars) {
-        if (now - contact.heard_at > subscriber.settings.update_life) {
+        // Rank agents hear less often.
+        auto const life = subscriber.self.role == daemon_role::rank_agent
+                              ? subscriber.settings.agent_life
+                              : subscriber.settings.update_life;
+        if (now - contact.heard_at > life) {
             continue;
         }
-        for (auto const& entry : contact.daemons) {
+        for (auto const& [address, entry] : contact.daemons) {
             if (entry.role != role) {
                 continue;
             }
@@ -103,11 +115,56 @@
         publisher.registrars.insert(beat.self.address);
     }
     if (changed) {
-        ++publisher.daemons_revision;
+        known.changed_at = ++publisher.daemons_revision;
+        publisher.dropped.erase(beat.self.address);
     }
     return changed;
 }
 
+namespace {
+
+// Gateways need gateways; an agent needs gateways and its group; registrars know each other by
+// address.
+bool concerns(daemon_entry const& subscriber, daemon_entry const& entry) {
+    switch (subscriber.role) {
+    case daemon_role::gateway:
+        return entry.role == daemon_role::gateway;
+    case daemon_role::rank_agent:
+        return entry.role == daemon_role::gateway ||
+               (entry.role == daemon_role::rank_agent && entry.group == subscriber.group);
+    default:
+        return false;
+    }
+}
+
+void add_daemons(directory_publisher const& publisher, daemon_entry const& subscriber,
+                 std::uint64_t known, directory_update& update) {
+    update.all_daemons = known == 0;
+    for (auto const& [address, state] : publisher.subscribers) {
+        if (state.changed_at > known && concerns(subscriber, state.entry)) {
+            update.daemons.push_back(state.entry);
+        }
+    }
+    for (auto const& [address, gone] : publisher.dropped) {
+        if (gone.changed_at > known) {
+            update.gone_daemons.push_back(address);
+        }
+    }
+}
+
+// An agent needs to know how its own target announced itself.
+void add_targets(target_directory const& directory, daemon_entry const& subscriber,
+                 std::uint64_t known, directory_update& update) {
+    update.targets = changes_after(directory, known);
+    if (subscriber.role == daemon_role::rank_agent) {
+        std::erase_if(update.targets, [&](target_announcement const& said) {
+            return said.address != subscriber.client_address;
+        });
+    }
+}
+
+} // namespace
+
 directory_update update_for(directory_publisher const& publisher, std::string const& address,
                             publisher_context const& context) {
     directory_update update;
@@ -120,27 +177,44 @@
     update.confirmed = context.confirmed;
     auto const found = publisher.subscribers.find(address);
     bool const known = found != publisher.subscribers.end();
-    update.targets = changes_after(*context.targets, known ? found->second.known_change : 0);
-    update.has_daemons = !known || found->second.known_daemons != publisher.daemons_revision;
-    if (update.has_daemons) {
-        for (auto const& [peer, state] : publisher.subscribers) {
-            update.daemons.push_back(state.entry);
-        }
-    }
+    directory_publisher::subscriber_state const fresh;
+    auto const& state = known ? found->second : fresh;
+    add_targets(*context.targets, state.entry, state.known_change, update);
+    add_daemons(publisher, state.entry, state.known_daemons, update);
     return update;
 }
 
+bool has_news(directory_update const& update) {
+    return !update.targets.empty() || !update.daemons.empty() || !update.gone_daemons.empty();
+}
+
+void forget_daemons(directory_subscriber& subscriber) {
+    for (auto& [address, contact] : subscriber.registrars) {
+        contact.daemons_revision = 0;
+    }
+}
+
 bool drop_silent(directory_publisher& publisher, time_point now) {
-    auto const dropped = std::erase_if(publisher.subscribers, [&](auto const& entry) {
-        return now - entry.second.heard_at > publisher.settings.daemon_life;
+    std::vector<std::string> silent;
+    for (auto const& [address, state] : publisher.subscribers) {
+        auto const life = state.entry.role == daemon_role::rank_agent
+                              ? publisher.settings.agent_life
+                              : publisher.settings.daemon_life;
+        if (now - state.heard_at > life) {
+            silent.push_back(address);
+        }
+    }
+    for (auto const& address : silent) {
+        publisher.subscribers.erase(address);
+        publisher.dropped[address] = {++publisher.daemons_revision, now};
+    }
+    std::erase_if(publisher.dropped, [&](auto const& entry) {
+        return now - entry.second.dropped_at > publisher.settings.keep_gone;
     });
     std::erase_if(publisher.registrars, [&](std::string const& address) {
         return !publisher.subscribers.contains(address);
     });
-    if (dropped > 0) {
-        ++publisher.daemons_revision;
-    }
-    return dropped > 0;
+    return !silent.empty();
 }
 
 } // namespace fireflycrank
--- a/src/directorysync.h
+++ b/src/directorysync.h
@@ -22,7 +22,7 @@
     std::string address; ///< where its peers reach it
     daemon_role role{daemon_role::unknown};
     std::string zone;
-    std::string client_address; ///< gateways: where callers connect
+    std::string client_address; ///< gateways: where callers connect; rank agents: the target
     bool ready{false};          ///< gateways: takes new callers
     std::string target_id;      ///< rank agents: the target beside which it runs
     std::uint64_t started{0};   ///< rises with every start of the process
@@ -44,8 +44,9 @@
     std::uint64_t change{0};
     std::vector<target_announcement> targets;
     std::uint64_t daemons_revision{0};
-    bool has_daemons{false};
-    std::vector<daemon_entry> daemons;
+    bool all_daemons{false}; ///< `daemons` holds every process that concerns the subscriber
+    std::vector<daemon_entry> daemons; ///< otherwise those that changed
+    std::vector<std::string> gone_daemons;
     std::vector<std::string> registrars;
     std::uint64_t config_version{0};
     bool confirmed{false}; ///< the registrar knows that its configuration is the newest
@@ -54,8 +55,13 @@
 /// Times of the exchange.
 struct sync_settings {
     duration beat_period{std::chrono::milliseconds{500}};
+    /// Rank agents are many and nothing is sent to them by callers.
+    duration agent_beat_period{std::chrono::milliseconds{1000}};
     /// A process that sent no beat for this long is left out of the list: three lost beats.
     duration daemon_life{std::chrono::milliseconds{1600}};
+    duration agent_life{std::chrono::milliseconds{3200}};
+    /// Dropped processes are named to subscribers for this long.
+    duration keep_gone{std::chrono::seconds{30}};
     /// A registrar that sent no update for this long is not believed about processes.
     duration update_life{std::chrono::milliseconds{1600}};
     /// A learned registrar that was silent for this long is forgotten, unless settings name it.
@@ -68,7 +74,7 @@
     std::uint64_t run{0};
     std::uint64_t change{0};
     std::uint64_t daemons_revision{0};
-    std::vector<daemon_entry> daemons;
+    std::map<std::string, daemon_entry> daemons; ///< by address
     std::uint64_t config_version{0};
     bool confirmed{false};
     time_point heard_at{};
@@ -131,8 +137,14 @@
         time_point heard_at{};
         std::uint64_t known_change{0};
         std::uint64_t known_daemons{0};
+        std::uint64_t changed_at{0}; ///< daemons_revision at which `entry` changed
     };
     std::map<std::string, subscriber_state> subscribers; ///< by address
+    struct dropped_daemon {
+        std::uint64_t changed_at{0};
+        time_point dropped_at{};
+    };
+    std::map<std::string, dropped_daemon> dropped; ///< by address
     std::uint64_t daemons_revision{1};
     std::set<std::string> registrars;
 };
@@ -159,6 +171,14 @@
 directory_update update_for(directory_publisher const& publisher, std::string const& address,
                             publisher_context const& context);
 
+/// Whether an update tells its subscriber anything new.
+/// @return false for a plain answer to a beat
+bool has_news(directory_update const& update);
+
+/// Asks for all processes again, because others than before concern this one now.
+/// @param subscriber the subscriber
+void forget_daemons(directory_subscriber& subscriber);
+
 /// Drops processes that fell silent.
 /// @param publisher the publisher
 /// @param now the time
--- a/src/directorywire.cpp
+++ b/src/directorywire.cpp
@@ -121,7 +121,10 @@
         fill(*wired.add_targets(), one);
     }
     wired.set_daemons_revision(plain.daemons_revision);
-    wired.set_has_daemons(plain.has_daemons);
+    wired.set_all_daemons(plain.all_daemons);
+    for (auto const& address : plain.gone_daemons) {
+        wired.add_gone_daemons(address);
+    }
     for (auto const& one : plain.daemons) {
         fill(*wired.add_daemons(), one);
     }
@@ -142,7 +145,8 @@
         plain.targets.push_back(plain_of(one));
     }
     plain.daemons_revision = wired.daemons_revision();
-    plain.has_daemons = wired.has_daemons();
+    plain.all_daemons = wired.all_daemons();
+    plain.gone_daemons.assign(wired.gone_daemons().begin(), wired.gone_daemons().end());
     for (auto const& one : wired.daemons()) {
         plain.daemons.push_back(plain_of(one));
     }
--- a/src/rankagent.cpp
+++ b/src/rankagent.cpp
@@ -16,6 +16,11 @@
 constexpr std::chrono::milliseconds tick_period{50};
 constexpr std::chrono::milliseconds report_period{200};
 constexpr std::chrono::milliseconds counts_period{150};
+// In groups of more ranks each rank sends its counts less often, so that the coordinator's link and
+// processor carry the same.
+constexpr unsigned counted_ranks = 8;
+// Reports are read more often during a map change; the gateways need no more than this.
+constexpr std::chrono::milliseconds load_period{140};
 constexpr std::chrono::milliseconds sync_period{100};
 constexpr std::chrono::milliseconds slow_period{1'000};
 // The engine is on the same VM and answers reports at once.
@@ -37,9 +42,11 @@
 
 void send_load(rank_agent& agent) {
     auto const id = target_id(agent);
-    if (id.empty()) {
+    auto const at = loop_now(agent.loop);
+    if (id.empty() || at - agent.load_sent_at < load_period) {
         return;
     }
+    agent.load_sent_at = at;
     engine_load load;
     load.target_id = id;
     load.born = agent.directory.targets.at(id).said.born;
@@ -62,7 +69,6 @@
         }
     }
     auto const bytes = serialize(load);
-    auto const at = loop_now(agent.loop);
     for (auto const& [address, entry] :
          listed_daemons(agent.subscriber, daemon_role::gateway, at)) {
         agent.link->send_datagram(address, engine_load_type, bytes);
@@ -89,6 +95,7 @@
         self.group = name;
         self.rank = rank;
         self.target_id = id;
+        forget_daemons(agent.subscriber);
         for (auto const& beat : due_beats(agent.subscriber, true, loop_now(agent.loop))) {
             agent.link->send(beat.to, beat_type, serialize(beat.message));
         }
@@ -206,10 +213,8 @@
     }
     for (auto const& [address, entry] :
          listed_daemons(agent.subscriber, daemon_role::rank_agent, loop_now(agent.loop))) {
-        auto const target = agent.directory.targets.find(entry.target_id);
-        if (!self.group.empty() && entry.group == self.group &&
-            target != agent.directory.targets.end()) {
-            agent.engines[entry.rank] = target->second.said.address;
+        if (!self.group.empty() && entry.group == self.group) {
+            agent.engines[entry.rank] = entry.client_address;
         }
     }
 }
@@ -227,7 +232,13 @@
         return true;
     });
     run_every(agent.loop, counts_period, [&agent] {
-        read_counts(agent);
+        auto const at = loop_now(agent.loop);
+        auto const size = agent.report && agent.report->group ? agent.report->group->size : 1U;
+        if (at - agent.counted_at >=
+            counts_period * (std::max(size, counted_ranks) / counted_ranks) - tick_period) {
+            agent.counted_at = at;
+            read_counts(agent);
+        }
         return true;
     });
     run_every(agent.loop, sync_period, [&agent] {
@@ -258,6 +269,7 @@
     self.address = peer_address(settings, settings.ip);
     self.role = daemon_role::rank_agent;
     self.zone = settings.zone;
+    self.client_address = settings.target_address;
     self.started = static_cast<std::uint64_t>(wall_now(loop.clock).time_since_epoch().count());
 }
 
--- a/src/rankagent.h
+++ b/src/rankagent.h
@@ -51,6 +51,8 @@
     bool read_again{false}; ///< something changed while a report was being read
     bool answering{true};
     std::uint64_t loads_sent{0};
+    time_point load_sent_at{};
+    time_point counted_at{};
     time_point busy_until{}; ///< a map change is under way: reports are read more often
 
     // The rank's part.
--- a/src/registrar.cpp
+++ b/src/registrar.cpp
@@ -88,6 +88,8 @@
     std::map<std::uint64_t, operator_call> operator_calls; ///< by request number
     std::uint64_t last_request{0};
     bool flush_posted{false};
+    bool push_due{false}; ///< the list of processes changed
+    std::uint64_t pushed_version{0};
     bool stopping{false};
 };
 
@@ -158,12 +160,20 @@
     return {&daemon.directory, daemon.services.current.version, is_confirmed(daemon)};
 }
 
+// Tells every subscriber what it does not know. Called at once for what must not wait; other
+// changes of one moment share a push.
 void push_updates(registrar_daemon& daemon) {
+    daemon.push_due = false;
     auto const context = context_of(daemon);
     for (auto const& [address, state] : daemon.publisher.subscribers) {
-        daemon.link->send(address, update_type,
-                          serialize(update_for(daemon.publisher, address, context)));
+        auto const update = update_for(daemon.publisher, address, context);
+        bool const new_version = context.config_version > daemon.pushed_version &&
+                                 state.entry.role == daemon_role::gateway;
+        if (has_news(update) || new_version) {
+            daemon.link->send(address, update_type, serialize(update));
+        }
     }
+    daemon.pushed_version = context.config_version;
 }
 
 void answer_operator(registrar_daemon& daemon, control_node_reply const& reply) {
@@ -492,11 +502,7 @@
             daemon.subscriber.registrars[address].learned_at = at;
         }
     }
-    bool const changed = take_beat(daemon.publisher, beat, at);
-    if (changed) {
-        push_updates(daemon);
-        return;
-    }
+    daemon.push_due = take_beat(daemon.publisher, beat, at) || daemon.push_due;
     daemon.link->send(
         beat.self.address, update_type,
         serialize(update_for(daemon.publisher, beat.self.address, context_of(daemon))));
@@ -638,7 +644,7 @@
         tick_replica(daemon);
         send_beats(daemon);
         advance_departures(daemon);
-        if (drop_silent(daemon.publisher, daemon_now(daemon))) {
+        if (drop_silent(daemon.publisher, daemon_now(daemon)) || daemon.push_due) {
             push_updates(daemon);
         }
         return true;
--- a/tests/gateway_directory_test.cpp
+++ b/tests/gateway_directory_test.cpp
@@ -165,7 +165,7 @@
     directory_update update;
     update.registrar_run = 1;
     update.daemons_revision = 1;
-    update.has_daemons = true;
+    update.all_daemons = true;
     update.daemons = {{"g:2", daemon_role::gateway, "z", "c:2", true, "", 5, "", 0}};
     take_update(subscriber, "r:1", update, at_ms(0));
     CHECK(listed_daemons(subscriber, daemon_role::gateway, at_ms(1'000)).size() == 1);
@@ -192,6 +192,35 @@
     CHECK(publisher.subscribers.empty());
 }
 
+// With a hundred processes a list sent to each at every change would be ten thousand entries.
+TEST_CASE("an update holds only what changed and concerns the subscriber") {
+    directory_publisher publisher;
+    publisher.address = "r:1";
+    publisher.run = 1;
+    target_directory targets;
+    auto const beat = [&](daemon_entry const& self, std::uint64_t known) {
+        take_beat(publisher, {self, 1, targets.last_change, known, {}}, at_ms(0));
+    };
+    daemon_entry const first{"g:1", daemon_role::gateway, "z", "c:1", true, "", 1, "", 0};
+    daemon_entry const second{"g:2", daemon_role::gateway, "z", "c:2", true, "", 1, "", 0};
+    daemon_entry const agent{"a:1", daemon_role::rank_agent, "z", "e:1", false, "t1", 1, "x", 0};
+    daemon_entry const other{"a:2", daemon_role::rank_agent, "z", "e:2", false, "t2", 1, "y", 0};
+    for (auto const& one : {first, second, agent, other}) {
+        beat(one, 0);
+    }
+    auto const whole = update_for(publisher, "g:1", {&targets, 0, true});
+    CHECK(whole.all_daemons);
+    CHECK(whole.daemons.size() == 2);
+    CHECK(update_for(publisher, "a:1", {&targets, 0, true}).daemons.size() == 3);
+    beat(first, publisher.daemons_revision);
+    CHECK_FALSE(has_news(update_for(publisher, "g:1", {&targets, 0, true})));
+    take_beat(publisher, {first, 1, 0, publisher.daemons_revision, {}}, at_ms(1'000));
+    drop_silent(publisher, at_ms(2'000));
+    auto const after = update_for(publisher, "g:1", {&targets, 0, true});
+    CHECK(after.gone_daemons == std::vector<std::string>{"g:2"});
+    CHECK(after.daemons.empty());
+}
+
 // A registrar that is cut off from the others must not take a target's word that it leaves.
 TEST_CASE("a departure is acknowledged by a majority only") {
     std::vector<std::string> const members{"a", "b", "c", "d", "e"};
