--- a/src/expertplan.cpp
+++ b/src/expertplan.cpp
@@ -139,6 +139,35 @@
     }
 }
 
+// Spreads the given experts, then those that share a rank with a replica whose load moved, for some
+// rounds. In a balanced workspace this is what full sweeps would change after a change of these
+// experts, at the cost of the ranks that it reaches.
+void balance_around(workspace& work, std::vector<std::size_t> experts, std::uint32_t rounds) {
+    double const least = std::accumulate(work.load->begin(), work.load->end(), 0.0) * 1e-4;
+    static thread_local std::vector<bool> queued;
+    std::vector<std::size_t> next;
+    for (std::uint32_t round = 0; round < rounds && !experts.empty(); ++round) {
+        queued.assign(work.slots_of.size(), false);
+        next.clear();
+        for (auto const expert : experts) {
+            if (spread_expert(work, expert) < least) {
+                continue;
+            }
+            for (auto const slot : work.slots_of[expert]) {
+                auto const first = work.rank_of(slot) * work.per_rank;
+                for (std::uint32_t place = 0; place < work.per_rank; ++place) {
+                    auto const held = work.map.slot_expert[first + place];
+                    if (held != no_expert && held != expert && !queued[held]) {
+                        queued[held] = true;
+                        next.push_back(held);
+                    }
+                }
+            }
+        }
+        std::swap(experts, next);
+    }
+}
+
 double highest_time(workspace const& work) {
     double highest = 0;
     for (std::uint32_t rank = 0; rank < work.rank_load.size(); ++rank) {
@@ -302,7 +331,7 @@
 std::uint32_t improve_once(workspace& work, trial_space& space, std::uint32_t budget) {
     constexpr std::size_t replica_slots = 12;
     constexpr std::size_t exchanged_slots = 6;
-    constexpr std::uint32_t trial_sweeps = 3;
+    constexpr std::uint32_t trial_rounds = 4;
     std::uint32_t hottest = 0;
     for (std::uint32_t rank = 0; rank < work.rank_load.size(); ++rank) {
         if (work.time_of(rank) > work.time_of(hottest)) {
@@ -312,14 +341,14 @@
     double const before = highest_time(work);
     double best_gain = before * 1e-3; // for one moved replica
     std::uint32_t best_moves = 0;
-    auto const attempt = [&](std::uint32_t moves, auto change) {
+    auto const attempt = [&](std::uint32_t moves, std::vector<std::size_t> changed, auto change) {
         if (space.left == 0) {
             return;
         }
         --space.left;
         space.trial = work; // reuses the memory of the last trial
         change(space.trial);
-        balance(space.trial, trial_sweeps);
+        balance_around(space.trial, std::move(changed), trial_rounds);
         double const gain = (before - highest_time(space.trial)) / moves;
         if (gain > best_gain) {
             best_gain = gain;
@@ -334,11 +363,17 @@
             continue;
         }
         for (auto const other : cheapest_slots(work, expert, replica_slots)) {
-            attempt(1, [&](workspace& trial) { replace(trial, other, expert); });
+            std::vector<std::size_t> changed{expert};
+            if (work.map.slot_expert[other] != no_expert) {
+                changed.push_back(work.map.slot_expert[other]);
+            }
+            attempt(1, std::move(changed),
+                    [&](workspace& trial) { replace(trial, other, expert); });
         }
         if (budget >= 2) {
             for (auto const other : exchange_slots(work, slot, exchanged_slots)) {
-                attempt(2, [&](workspace& trial) { exchange(trial, slot, other); });
+                attempt(2, {expert, work.map.slot_expert[other]},
+                        [&](workspace& trial) { exchange(trial, slot, other); });
             }
         }
     }
