--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -4,6 +4,7 @@
 #include "peeraddress.h"
 #include "platform/callheaders.h"
 #include "platform/operatorconfig.h"
+#include "stopplan.h"
 
 #include <algorithm>
 #include <chrono>
@@ -23,10 +24,6 @@
 // Life of an answer to callers that ask where to connect. Short, so that a VM that stopped is left
 // soon; some callers keep answers three times as long.
 constexpr std::chrono::seconds directory_answer_life{2};
-// After SIGTERM callers still come with old answers for three lives.
-constexpr std::chrono::milliseconds accept_after_stop{4'500};
-// Left of the grace period when what is still open is cut.
-constexpr std::chrono::milliseconds stop_margin{500};
 constexpr std::size_t max_listed = 64;
 constexpr unsigned ok_status = 200;
 constexpr unsigned not_found = 404;
@@ -43,7 +40,7 @@
     std::shared_ptr<http_listener> readiness;
     std::shared_ptr<http_listener> directory;
     std::shared_ptr<http_listener> metrics;
-    time_point stop_at{};
+    stop_plan stop;
 };
 
 bool is_ready(gateway const& owner) {
@@ -255,8 +252,9 @@
     log_event(events::process_stopping, {{"in_flight", owner.calls.size()}});
     update_readiness(owner);
     daemon.callers->close_after_answers();
-    daemon.stop_at = loop_now(owner.loop) + owner.settings.bounds.grace - stop_margin;
-    run_after(owner.loop, accept_after_stop, [&daemon] {
+    auto const at = loop_now(owner.loop);
+    daemon.stop = plan_stop(at, owner.settings.bounds.grace);
+    run_after(owner.loop, daemon.stop.accept_until - at, [&daemon] {
         daemon.callers->stop_accepting();
         daemon.callers->close_idle();
     });
@@ -268,11 +266,9 @@
     if (!owner.stopping) {
         return true;
     }
-    auto const left = daemon.stop_at - loop_now(owner.loop);
-    auto const grace = owner.settings.bounds.grace - stop_margin;
-    bool const waited = grace - left > accept_after_stop;
+    auto const at = loop_now(owner.loop);
     bool const idle = owner.calls.empty() && daemon.callers->busy() == 0;
-    if ((waited && idle) || left <= duration::zero()) {
+    if ((idle && at > daemon.stop.accept_until) || at >= daemon.stop.cut_at) {
         owner.loop.context.stop();
         return false;
     }
--- a/tests/gateway_call_test.cpp
+++ b/tests/gateway_call_test.cpp
@@ -4,6 +4,7 @@
 #include "eventsplit.h"
 #include "retryledger.h"
 #include "rng.h"
+#include "stopplan.h"
 
 #include <doctest/doctest.h>
 
@@ -144,4 +145,19 @@
     CHECK(splitter.last_id == 2);
 }
 
+// Found on kumamoto-shakyo-grown, day fresh-3978: a stream taken 4.4 s after the stop signal was cut at
+// the end of the grace period.
+TEST_CASE("a stopping gateway takes no request that it may have to cut") {
+    for (auto const grace : {milliseconds{8'000}, milliseconds{4'000}, milliseconds{500}}) {
+        auto const plan = plan_stop(time_point{milliseconds{1'000}}, grace);
+        auto const accepts = plan.accept_until - time_point{milliseconds{1'000}};
+        CHECK(accepts <= milliseconds{3'000});
+        CHECK(accepts <= grace / 2);
+        CHECK(plan.cut_at > plan.accept_until - milliseconds{1});
+        CHECK(plan.cut_at < time_point{milliseconds{1'000}} + grace);
+    }
+    auto const usual = plan_stop(time_point{milliseconds{0}}, milliseconds{8'000});
+    CHECK(usual.cut_at - time_point{milliseconds{0}} > milliseconds{8'000} * 5 / 6);
+}
+
 } // namespace fireflycrank
