--- a/src/rankswitch.cpp
+++ b/src/rankswitch.cpp
@@ -158,6 +158,7 @@
                     agent.experts_version = version;
                     agent.experts_epoch = epoch;
                     agent.sets = static_cast<unsigned>(agent.experts->size());
+                    send_status(agent);
                 });
 }
 
@@ -442,7 +443,6 @@
     if (agent.counting || !agent.report || !agent.report->group) {
         return;
     }
-    read_experts(agent);
     agent.counting = true;
     auto const& address = agent.settings.target_address;
     call_engine(agent.loop, agent.pool, address, platform::encode_counts_call(address),
@@ -463,6 +463,7 @@
         return;
     }
     time_passes(agent);
+    read_experts(agent);
     note_coordinator(agent);
     auto const to = coordinator_address(agent);
     if (to.empty()) {
