--- a/src/rankswitch.cpp
+++ b/src/rankswitch.cpp
@@ -23,7 +23,7 @@
 // Pause between the end of one change and the next plan.
 constexpr std::chrono::milliseconds plan_pause{100};
 // A change must lower the most loaded rank by this part of the mean; copies are priced.
-constexpr double least_gain = 0.05;
+constexpr double least_gain = 0.10;
 // While passes are short, imbalance delays nobody.
 constexpr double least_gain_at_ease = 0.25;
 // About half of the pause between events that callers accept.
--- a/src/stopplan.h
+++ b/src/stopplan.h
@@ -1,6 +1,6 @@
 /// @file
-/// How a gateway stops: it keeps taking callers while old directory answers still lead them here, but
-/// no request that could not be finished within the grace period.
+/// How a gateway stops: it keeps taking callers while old directory answers still lead them here,
+/// but no request that could not be finished within the grace period.
 #pragma once
 
 #include "clock.h"
--- a/tests/gateway_call_test.cpp
+++ b/tests/gateway_call_test.cpp
@@ -145,8 +145,8 @@
     CHECK(splitter.last_id == 2);
 }
 
-// Found on kumamoto-shakyo-grown, day fresh-3978: a stream taken 4.4 s after the stop signal was cut at
-// the end of the grace period.
+// Found on kumamoto-shakyo-grown, day fresh-3978: a stream taken 4.4 s after the stop signal was
+// cut at the end of the grace period.
 TEST_CASE("a stopping gateway takes no request that it may have to cut") {
     for (auto const grace : {milliseconds{8'000}, milliseconds{4'000}, milliseconds{500}}) {
         auto const plan = plan_stop(time_point{milliseconds{1'000}}, grace);
