--- a/src/engineclient.cpp
+++ b/src/engineclient.cpp
@@ -31,7 +31,7 @@
         call->answer.status = head.status;
         return true;
     };
-    events.on_body = [call](std::string body) {
+    events.on_body = [call](std::string const& body) {
         call->answer.body += body;
         return true;
     };
--- a/src/eventloop.cpp
+++ b/src/eventloop.cpp
@@ -77,12 +77,13 @@
     std::signal(SIGPIPE, SIG_IGN);
     auto const signals = std::make_shared<net::signal_set>(loop.context, SIGTERM, SIGINT, SIGHUP);
     wait_for_signal(signals, std::make_shared<std::function<void(int)>>(
-                                 [=](int number) { number == SIGHUP ? on_reload() : on_stop(); }));
+                                 [on_stop = std::move(on_stop), on_reload = std::move(on_reload)](
+                                     int number) { number == SIGHUP ? on_reload() : on_stop(); }));
 }
 
 void watch_file(event_loop& loop, std::string const& path, std::function<void()> on_change) {
     auto const seen = std::make_shared<file_version>(version_of(path));
-    run_every(loop, file_check_period, [=] {
+    run_every(loop, file_check_period, [path, seen, on_change = std::move(on_change)] {
         auto const present = version_of(path);
         if (present != *seen && present != file_version{}) {
             *seen = present;
@@ -113,8 +114,9 @@
 
 result<std::shared_ptr<http_listener>> open_metrics(event_loop& loop, vm_settings const& settings,
                                                     std::shared_ptr<metrics_registry> registry) {
-    auto const serve = [registry](incoming_request const& request,
-                                  std::shared_ptr<answer_writer> const& writer) {
+    auto const serve = [registry =
+                            std::move(registry)](incoming_request const& request,
+                                                 std::shared_ptr<answer_writer> const& writer) {
         if (request.head.target != metrics_path) {
             writer->send(not_found, {}, {});
             return;
--- a/src/expertplace.cpp
+++ b/src/expertplace.cpp
@@ -220,6 +220,7 @@
     plan.before = skew_of(sets);
     std::vector<unsigned> rank_copies(present.size(), 0);
     std::vector<std::optional<place_move>> next;
+    next.reserve(sets.size());
     for (auto const& set : sets) {
         next.push_back(best_move(set, limits, rank_copies));
     }
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -279,9 +279,10 @@
     auto& owner = daemon.state;
     auto& context = owner.loop.context;
     auto const& listen = owner.settings.listen;
-    BOOST_OUTCOME_TRY(
-        link, peer_link::open(context, owner.subscriber.self.address,
-                              [&owner](peer_message message) { on_message(owner, message); }));
+    BOOST_OUTCOME_TRY(link, peer_link::open(context, owner.subscriber.self.address,
+                                            [&owner](peer_message const& message) {
+                                                on_message(owner, message);
+                                            }));
     owner.link = link;
     BOOST_OUTCOME_TRY(callers, http_listener::open(context, listen.callers, owner.loop.clock,
                                                    [&owner](incoming_request request,
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -334,7 +334,7 @@
     exchange_events exchange_handlers() {
         auto const self = shared_from_this();
         return {[self](message_head const& head) { return self->on_head(head); },
-                [self](std::string bytes) { return self->on_body(std::move(bytes)); },
+                [self](std::string const& bytes) { return self->on_body(bytes); },
                 [self](exchange_end how) { self->on_exchange_end(how); }};
     }
 
@@ -363,7 +363,7 @@
         return progress_.kind == call_kind::stream && answer_->status == ok_status && usable();
     }
 
-    bool on_body(std::string bytes) {
+    bool on_body(std::string const& bytes) {
         if (!streaming()) {
             body_ += bytes;
             if (body_.size() > max_answer_bytes) {
--- a/src/httplistener.cpp
+++ b/src/httplistener.cpp
@@ -130,14 +130,15 @@
 
     void sweep(time_point at) {
         auto const& limits = owner_->limits;
-        if (phase_ == connection_phase::idle && at - since_ > limits.idle_timeout) {
-            close();
-        } else if (phase_ == connection_phase::reading && !reader_.head_complete() &&
-                   at - since_ > limits.header_timeout) {
-            reject(request_timeout);
-        } else if (phase_ == connection_phase::reading && at - heard_ > limits.idle_timeout) {
+        bool const slow_head = !reader_.head_complete() && at - since_ > limits.header_timeout;
+        bool const slow_body = at - heard_ > limits.idle_timeout;
+        if (phase_ == connection_phase::reading && (slow_head || slow_body)) {
             reject(request_timeout);
-        } else if (phase_ == connection_phase::lingering && at - since_ > linger_limit) {
+            return;
+        }
+        bool const unused = phase_ == connection_phase::idle && at - since_ > limits.idle_timeout;
+        bool const lingered = phase_ == connection_phase::lingering && at - since_ > linger_limit;
+        if (unused || lingered) {
             close();
         }
     }
--- a/src/rankswitch.cpp
+++ b/src/rankswitch.cpp
@@ -65,15 +65,15 @@
                std::function<void(bool)> done) {
     auto const& address = agent.settings.target_address;
     agent.busy_until = loop_now(agent.loop) + busy_span;
-    call_engine(agent.loop, agent.pool, address, platform::encode_order_call(address, order),
-                order_limit,
-                [&agent, order, name, done = std::move(done)](std::optional<engine_answer> answer) {
-                    log_order(agent, name, order.version, order.pass, answer);
-                    if (done) {
-                        done(succeeded(answer));
-                    }
-                    read_report(agent);
-                });
+    call_engine(
+        agent.loop, agent.pool, address, platform::encode_order_call(address, order), order_limit,
+        [&agent, order, name, done = std::move(done)](std::optional<engine_answer> const& answer) {
+            log_order(agent, name, order.version, order.pass, answer);
+            if (done) {
+                done(succeeded(answer));
+            }
+            read_report(agent);
+        });
 }
 
 // The agent of rank 0 in the same group.
@@ -366,7 +366,7 @@
 void order_remote(rank_agent& agent, std::string const& address, platform::rank_order const& order,
                   char const* name) {
     call_engine(agent.loop, agent.pool, address, platform::encode_order_call(address, order),
-                remote_limit, [&agent, order, name](std::optional<engine_answer> answer) {
+                remote_limit, [&agent, order, name](std::optional<engine_answer> const& answer) {
                     log_order(agent, name, order.version, order.pass, answer);
                 });
 }
--- a/src/registrar.cpp
+++ b/src/registrar.cpp
@@ -666,8 +666,9 @@
 result<void> open_listeners(registrar_daemon& daemon) {
     auto& context = daemon.loop.context;
     BOOST_OUTCOME_TRY(
-        link, peer_link::open(context, daemon.address,
-                              [&daemon](peer_message message) { on_message(daemon, message); }));
+        link, peer_link::open(context, daemon.address, [&daemon](peer_message const& message) {
+            on_message(daemon, message);
+        }));
     daemon.link = link;
     BOOST_OUTCOME_TRY(
         control, http_listener::open(context, daemon.settings.listen.control, daemon.loop.clock,
--- a/src/targetpool.cpp
+++ b/src/targetpool.cpp
@@ -104,7 +104,8 @@
     void cancel() override {
         if (!ended_) {
             ended_ = true;
-            events_ = {};
+            // Destroyed later: one of these handlers may be what calls this.
+            net::post(*pool_->context, [events = std::move(events_)] {});
             close();
         }
     }
--- a/tests/gateway_directory_test.cpp
+++ b/tests/gateway_directory_test.cpp
@@ -126,7 +126,7 @@
     configure_registrars(subscriber, {"r:1"}, at_ms(0));
     target_directory mirror;
     for (int step = 0; step < 400; ++step) {
-        auto const now = at_ms(step * 100);
+        auto const now = at_ms(std::int64_t{100} * step);
         if (step < 300) {
             auto said = announce("t" + std::to_string(next_below(random, 5)),
                                  static_cast<std::int64_t>(1 + next_below(random, 3)),
--- a/tests/gateway_platform_test.cpp
+++ b/tests/gateway_platform_test.cpp
@@ -99,7 +99,7 @@
     CHECK(said->condition == target_condition::ready);
     CHECK(said->sequence == 4);
     CHECK(said->born == wall_time{milliseconds{1'775'642'652'120}});
-    for (auto const& [from, to] : std::vector<std::pair<std::string, std::string>>{
+    for (auto const& edit : std::vector<std::pair<std::string, std::string>>{
              {R"("state":"ready")", R"("state":"resting")"},
              {R"("state":"ready",)", ""},
              {R"("slots":12)", R"("slots":"many")"},
@@ -108,8 +108,9 @@
              {R"("born":1775642652120)", R"("born":1.5)"},
              {R"(,"born":1775642652120)", ""},
              {R"("address":"10.0.0.9:8080")", R"("address":[1])"}}) {
-        CAPTURE(to);
-        CHECK_FALSE(platform::decode_heartbeat("i-1", replaced(valid_heartbeat, from, to)));
+        CAPTURE(edit.second);
+        CHECK_FALSE(
+            platform::decode_heartbeat("i-1", replaced(valid_heartbeat, edit.first, edit.second)));
     }
     CHECK_FALSE(platform::decode_heartbeat("", valid_heartbeat));
     CHECK_FALSE(platform::decode_heartbeat("i-1", "\xff\xfe{"));
--- a/tests/gateway_socket_test.cpp
+++ b/tests/gateway_socket_test.cpp
@@ -106,7 +106,7 @@
                 record.heads.push_back(head.status);
                 return head.status != skip_status;
             },
-            [&record](std::string bytes) {
+            [&record](std::string const& bytes) {
                 record.body += bytes;
                 return true;
             },
@@ -342,7 +342,7 @@
     auto const first = address_of(free_port());
     auto const second = address_of(free_port());
     std::vector<peer_message> received;
-    auto const sender = peer_link::open(loop.context, first, [](peer_message) {});
+    auto const sender = peer_link::open(loop.context, first, [](peer_message const&) {});
     auto const receiver = peer_link::open(loop.context, second, [&](peer_message message) {
         received.push_back(std::move(message));
     });
