--- a/src/targetpool.cpp
+++ b/src/targetpool.cpp
@@ -132,9 +132,12 @@
         return reader;
     }
 
+    // With a reset: after an orderly close the kernel would go on delivering a request that is
+    // given up, to a target that comes back seconds later.
     void close() {
         pool_->connecting.erase(this);
         net_error ignored;
+        socket_.set_option(net::socket_base::linger{true, 0}, ignored);
         socket_.close(ignored);
     }
 
--- a/tests/gateway_socket_test.cpp
+++ b/tests/gateway_socket_test.cpp
@@ -52,12 +52,14 @@
     tcp::socket socket;
     std::string received;
     bool ended{false};
+    net_error failure;
     std::array<char, 4096> chunk{};
 
     void read() {
         socket.async_read_some(net::buffer(chunk), [this](net_error failed, std::size_t size) {
             received.append(chunk.data(), size);
             ended = static_cast<bool>(failed);
+            failure = failed;
             if (!failed) {
                 read();
             }
@@ -253,6 +255,22 @@
     CHECK(pool.counters().reused == 0);
 }
 
+// Found on kumamoto-shakyo, mix, seed 1042190583391: a request to a silent target was given up when
+// its caller left, and reached the target two seconds later.
+TEST_CASE("a call that is given up is reset, so that nothing of it is delivered later") {
+    event_loop loop;
+    raw_target target{loop};
+    target_pool pool{loop.context, loop.clock};
+    call_record record;
+    auto const call = pool.start(request_to(target.address, plain_request), recording(record));
+    REQUIRE(run_until(
+        loop, [&] { return target.peers.size() == 1 && !target.peers[0]->received.empty(); }));
+    call->cancel();
+    REQUIRE(run_until(loop, [&] { return target.peers[0]->ended; }));
+    CHECK(target.peers[0]->failure == net::error::connection_reset);
+    CHECK_FALSE(record.end);
+}
+
 TEST_CASE("how an exchange ended") {
     event_loop loop;
     raw_target target{loop};
