Restore a planner trial instead of copying its workspace; measure a plan's processor time

Cause of the listed worst plan (11 ms, bound 5): the wall time of one call, which includes waits for a processor. The new figure rebalance_plan_worst_cpu_ms has the bound of the target, 5 ms; the wall figure stays.

--- a/src/benchexperts.cpp
+++ b/src/benchexperts.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <ctime>
 #include <map>
 #include <numeric>
 
@@ -98,6 +99,7 @@
     std::uint32_t decisions{0};
     double plan_ms_sum{0};
     double plan_ms_worst{0};
+    double plan_cpu_ms_worst{0};
     std::uint32_t plans{0};
 
     void add(day_figures const& other) {
@@ -111,10 +113,18 @@
         decisions += other.decisions;
         plan_ms_sum += other.plan_ms_sum;
         plan_ms_worst = std::max(plan_ms_worst, other.plan_ms_worst);
+        plan_cpu_ms_worst = std::max(plan_cpu_ms_worst, other.plan_cpu_ms_worst);
         plans += other.plans;
     }
 };
 
+// Processor time of this thread, which other processes on the machine do not lengthen.
+double thread_cpu_ms() {
+    timespec used{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return static_cast<double>(used.tv_sec) * 1e3 + static_cast<double>(used.tv_nsec) * 1e-6;
+}
+
 void run_day(double exponent, std::uint64_t seed, day_figures& figures) {
     rng random{seed};
     auto const day = make_day(exponent, random);
@@ -156,12 +166,15 @@
         }
         settings.life_steps = 20'000;
         auto const before = std::chrono::steady_clock::now();
+        double const cpu_before = thread_cpu_ms();
         auto const plan = plan_layer(present, expected, speed, settings);
+        double const cpu = thread_cpu_ms() - cpu_before;
         double const took =
             std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - before)
                 .count();
         figures.plan_ms_sum += took;
         figures.plan_ms_worst = std::max(figures.plan_ms_worst, took);
+        figures.plan_cpu_ms_worst = std::max(figures.plan_cpu_ms_worst, cpu);
         ++figures.plans;
         // The stall is shared by the layers of a group; one layer stands for 60.
         if (plan.cause == plan_cause::balanced || plan.gain < plan.cost + settings.stall / 60) {
@@ -427,6 +440,8 @@
     results.push_back({"rebalance_plan_ms", "ms", plan_ms, 0, 5, plan_ms <= 5, false});
     results.push_back(
         {"rebalance_plan_worst_ms", "ms", all.plan_ms_worst, 0, 5, all.plan_ms_worst <= 5, false});
+    results.push_back({"rebalance_plan_worst_cpu_ms", "ms", all.plan_cpu_ms_worst, 0, 5,
+                       all.plan_cpu_ms_worst <= 5, false});
 }
 
 } // namespace
--- a/src/expertplan.cpp
+++ b/src/expertplan.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <limits>
 #include <numeric>
+#include <optional>
 #include <utility>
 
 namespace fireflycrank {
@@ -26,6 +27,7 @@
     std::vector<double> const* load{nullptr};
     std::vector<double> const* speed{nullptr};
     std::uint32_t per_rank{1};
+    std::vector<std::size_t> touched; // experts whose slots changed, for restore()
 
     std::uint32_t rank_of(std::uint32_t slot) const { return slot / per_rank; }
     double speed_of(std::uint32_t slot) const { return (*speed)[rank_of(slot)]; }
@@ -96,6 +98,7 @@
     if (slots.size() < 2 || total <= 0) {
         return 0;
     }
+    work.touched.push_back(expert);
     static thread_local std::vector<level> levels;
     levels.clear();
     for (auto const slot : slots) {
@@ -190,7 +193,9 @@
 void replace(workspace& work, std::uint32_t slot, std::uint16_t expert) {
     auto const former = work.map.slot_expert[slot];
     work.map.slot_expert[slot] = expert;
+    work.touched.push_back(expert);
     if (former != no_expert) {
+        work.touched.push_back(former);
         auto& slots = work.slots_of[former];
         std::erase(slots, slot);
         float const freed = work.map.share[slot];
@@ -274,6 +279,7 @@
 // Exchanges the experts of two slots together with their loads.
 void exchange(workspace& work, std::uint32_t left, std::uint32_t right) {
     auto const take = [&](std::uint32_t from, std::uint32_t to, std::uint16_t expert, float share) {
+        work.touched.push_back(expert);
         auto& slots = work.slots_of[expert];
         *std::find(slots.begin(), slots.end(), from) = to;
         work.map.slot_expert[to] = expert;
@@ -319,10 +325,57 @@
     return slots;
 }
 
+// Makes a changed copy equal to its original again, at the cost of the experts that were touched.
+void restore(workspace& copy, workspace const& original) {
+    auto const restore_slot = [&](std::uint32_t slot) {
+        copy.map.slot_expert[slot] = original.map.slot_expert[slot];
+        copy.map.share[slot] = original.map.share[slot];
+        copy.rank_load[copy.rank_of(slot)] = original.rank_load[copy.rank_of(slot)];
+    };
+    for (auto const expert : copy.touched) {
+        for (auto const slot : copy.slots_of[expert]) {
+            restore_slot(slot);
+        }
+        copy.slots_of[expert] = original.slots_of[expert];
+        for (auto const slot : copy.slots_of[expert]) {
+            restore_slot(slot);
+        }
+    }
+    copy.touched.clear();
+}
+
+// One way to relieve a rank. As an exchange, the two slots swap their experts; else a replica of
+// the expert in `hot` goes into `other`.
+struct relief {
+    std::uint32_t hot{0};
+    std::uint32_t other{0};
+    bool exchanged{false};
+};
+
+std::uint32_t moves_of(relief const& step) {
+    return step.exchanged ? 2 : 1;
+}
+
+// Applies a relief and spreads the experts around it.
+void apply(workspace& work, relief const& step) {
+    constexpr std::uint32_t spread_rounds = 4;
+    auto const expert = work.map.slot_expert[step.hot];
+    auto const former = work.map.slot_expert[step.other];
+    std::vector<std::size_t> changed{expert};
+    if (former != no_expert) {
+        changed.push_back(former);
+    }
+    if (step.exchanged) {
+        exchange(work, step.hot, step.other);
+    } else {
+        replace(work, step.other, expert);
+    }
+    balance_around(work, std::move(changed), spread_rounds);
+}
+
 // Memory that the trials of one plan share, and how many of them are left.
 struct trial_space {
     workspace trial;
-    workspace best;
     std::uint32_t left{0};
 };
 
@@ -331,7 +384,6 @@
 std::uint32_t improve_once(workspace& work, trial_space& space, std::uint32_t budget) {
     constexpr std::size_t replica_slots = 12;
     constexpr std::size_t exchanged_slots = 6;
-    constexpr std::uint32_t trial_rounds = 4;
     std::uint32_t hottest = 0;
     for (std::uint32_t rank = 0; rank < work.rank_load.size(); ++rank) {
         if (work.time_of(rank) > work.time_of(hottest)) {
@@ -340,21 +392,21 @@
     }
     double const before = highest_time(work);
     double best_gain = before * 1e-3; // for one moved replica
-    std::uint32_t best_moves = 0;
-    auto const attempt = [&](std::uint32_t moves, std::vector<std::size_t> changed, auto change) {
+    std::optional<relief> best;
+    work.touched.clear();
+    space.trial = work;
+    auto const attempt = [&](relief const& step) {
         if (space.left == 0) {
             return;
         }
         --space.left;
-        space.trial = work; // reuses the memory of the last trial
-        change(space.trial);
-        balance_around(space.trial, std::move(changed), trial_rounds);
-        double const gain = (before - highest_time(space.trial)) / moves;
+        apply(space.trial, step);
+        double const gain = (before - highest_time(space.trial)) / moves_of(step);
         if (gain > best_gain) {
             best_gain = gain;
-            best_moves = moves;
-            std::swap(space.best, space.trial);
+            best = step;
         }
+        restore(space.trial, work);
     };
     for (std::uint32_t place = 0; place < work.per_rank; ++place) {
         auto const slot = hottest * work.per_rank + place;
@@ -363,24 +415,19 @@
             continue;
         }
         for (auto const other : cheapest_slots(work, expert, replica_slots)) {
-            std::vector<std::size_t> changed{expert};
-            if (work.map.slot_expert[other] != no_expert) {
-                changed.push_back(work.map.slot_expert[other]);
-            }
-            attempt(1, std::move(changed),
-                    [&](workspace& trial) { replace(trial, other, expert); });
+            attempt({slot, other, false});
         }
         if (budget >= 2) {
             for (auto const other : exchange_slots(work, slot, exchanged_slots)) {
-                attempt(2, {expert, work.map.slot_expert[other]},
-                        [&](workspace& trial) { exchange(trial, slot, other); });
+                attempt({slot, other, true});
             }
         }
     }
-    if (best_moves > 0) {
-        std::swap(work, space.best);
+    if (!best) {
+        return 0;
     }
-    return best_moves;
+    apply(work, *best);
+    return moves_of(*best);
 }
 
 duration scaled(duration unit, double factor) {
