Keep a daemon's state until the process ends; print what a planned stop leaves

Change: run_daemon holds the state until _Exit. The test prints the exit status and the end of the agent's log. New test: an agent whose engine is frozen stops with 0.

--- a/src/agentd.cpp
+++ b/src/agentd.cpp
@@ -416,12 +416,13 @@
 
 } // namespace
 
-result<void> run_agent(process_config const& settings) {
+result<daemon_state> run_agent(process_config const& settings) {
     if (settings.target.engine.empty()) {
         return fail(error_kind::invalid_settings, "an agent needs the target object",
                     "add target.engine and target.serves to the settings");
     }
-    agent_daemon daemon{settings};
+    auto const state = std::make_shared<agent_daemon>(settings);
+    auto& daemon = *state;
     prepare(daemon);
     {
         // Messages that arrive before the mailbox is stored wait for the mutex.
@@ -459,7 +460,7 @@
     daemon.server->close();
     daemon.box->close();
     log_event(events::process_stopped, {});
-    return ok();
+    return daemon_state{state};
 }
 
 } // namespace fireflycrank
--- a/src/agentd.h
+++ b/src/agentd.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "config.h"
+#include "daemonbase.h"
 #include "error.h"
 
 namespace fireflycrank {
@@ -13,7 +14,7 @@
 /// Runs an agent until SIGTERM or SIGINT, then drains it. The caller has blocked these signals and
 /// opened the log.
 /// @param settings the process's settings
-/// @return nothing after a complete drain; the error that prevented the start
-result<void> run_agent(process_config const& settings);
+/// @return the state after a complete drain; the error that prevented the start
+result<daemon_state> run_agent(process_config const& settings);
 
 } // namespace fireflycrank
--- a/src/controld.cpp
+++ b/src/controld.cpp
@@ -583,9 +583,10 @@
 
 } // namespace
 
-result<void> run_control(process_config const& settings, bool force_sole_member) {
+result<daemon_state> run_control(process_config const& settings, bool force_sole_member) {
     BOOST_OUTCOME_TRYV(check_settings(settings));
-    control_daemon daemon{settings};
+    auto const state = std::make_shared<control_daemon>(settings);
+    auto& daemon = *state;
     BOOST_OUTCOME_TRYV(open_replica(daemon));
     if (force_sole_member) {
         BOOST_OUTCOME_TRYV(fireflycrank::force_sole_member(*daemon.node, clock_now(daemon)));
@@ -630,7 +631,7 @@
     daemon.pool.stop();
     daemon.box->close();
     log_event(events::process_stopped, {});
-    return ok();
+    return daemon_state{state};
 }
 
 } // namespace fireflycrank
--- a/src/controld.h
+++ b/src/controld.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "config.h"
+#include "daemonbase.h"
 #include "error.h"
 
 namespace fireflycrank {
@@ -14,7 +15,7 @@
 /// the log.
 /// @param settings the process's settings
 /// @param force_sole_member make this replica the only member of a new cluster
-/// @return nothing after a regular stop; the error that prevented the start or stopped the replica
-result<void> run_control(process_config const& settings, bool force_sole_member);
+/// @return the state after a regular stop; the error that prevented the start or stopped the replica
+result<daemon_state> run_control(process_config const& settings, bool force_sole_member);
 
 } // namespace fireflycrank
--- a/src/daemonbase.cpp
+++ b/src/daemonbase.cpp
@@ -24,7 +24,7 @@
 
 int run_daemon(
     int argc, char** argv, std::string const& description, bool is_control,
-    std::function<result<void>(process_config const&, daemon_switches const&)> const& run) {
+    std::function<result<daemon_state>(process_config const&, daemon_switches const&)> const& run) {
     CLI::App app{description};
     std::string folder;
     bool check_only = false;
--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -524,8 +524,9 @@
 
 } // namespace
 
-result<void> run_entry(process_config const& settings) {
-    entry_daemon daemon{settings};
+result<daemon_state> run_entry(process_config const& settings) {
+    auto const state = std::make_shared<entry_daemon>(settings);
+    auto& daemon = *state;
     prepare(daemon);
     {
         // Messages that arrive before the mailbox is stored wait for the mutex.
@@ -558,7 +559,7 @@
     daemon.server->close();
     daemon.box->close();
     log_event(events::process_stopped, {});
-    return ok();
+    return daemon_state{state};
 }
 
 } // namespace fireflycrank
--- a/tests/path_request_test.cpp
+++ b/tests/path_request_test.cpp
@@ -281,6 +281,23 @@
     }
 }
 
+// Stands for the exit status of a process that did not end in time, so that a failure prints it.
+constexpr int still_running = 1000;
+
+TEST_CASE("an agent stops cleanly while its engine does not answer") {
+    // Guards against a health probe that ends after the agent's state is gone.
+    system_under_test system;
+    system.start_control();
+    system.add_entry("entry-1");
+    system.add_target("runner-1", "fude@1");
+    REQUIRE(system.apply(basic_settings()) == 0);
+    REQUIRE(system.wait_ready(1));
+    system.pause_process("runner-1-engine");
+    std::this_thread::sleep_for(std::chrono::seconds{1}); // two probe periods: one is under way
+    system.stop_process("runner-1");
+    CHECK(system.wait_exit("runner-1").value_or(still_running) == 0);
+}
+
 TEST_CASE("a planned stop cuts nothing off") {
     // Guards against a restart that breaks streams.
     system_under_test system;
@@ -303,7 +320,9 @@
         caller.join();
         CHECK(whole);
         CHECK(count_of(answer, "\"text\"") == 100);
-        CHECK(system.wait_exit(busy) == 0);
+        int const status = system.wait_exit(busy).value_or(still_running);
+        INFO(system.log_end(busy));
+        CHECK(status == 0);
         CHECK(system.post("entry-1", "draft", prompt("next", 2)).status == 200);
     }
     SUBCASE("of the entry") {
@@ -315,7 +334,7 @@
         caller.join();
         CHECK(whole);
         CHECK(count_of(answer, "\"text\"") == 100);
-        CHECK(system.wait_exit("entry-1", 60) == 0);
+        CHECK(system.wait_exit("entry-1", 60).value_or(still_running) == 0);
     }
     SUBCASE("by the operator's drain command") {
         std::string const busy = system.runs("runner-1", body) == 1 ? "runner-1" : "runner-2";
@@ -366,7 +385,7 @@
     std::ofstream{system.folder() + "/entry-1/20-wrong.json"} << R"({"zone": 7})";
     system.kill_process("entry-1");
     system.start_again("entry-1");
-    CHECK(system.wait_exit("entry-1") == 2);
+    CHECK(system.wait_exit("entry-1").value_or(still_running) == 2);
     std::ifstream errors{system.folder() + "/entry-1.err"};
     std::string const text{std::istreambuf_iterator<char>{errors}, {}};
     CHECK(text.find("20-wrong.json at /zone") != std::string::npos);
--- a/tests/path_system.cpp
+++ b/tests/path_system.cpp
@@ -27,7 +27,7 @@
 
 constexpr std::chrono::milliseconds poll_pause{20};
 
-void end_process(pid_t pid, int signal) {
+void signal_process(pid_t pid, int signal) {
     if (pid > 0) {
         kill(pid, signal);
     }
@@ -44,7 +44,7 @@
 
 system_under_test::~system_under_test() {
     for (auto& [name, entry] : processes_) {
-        end_process(entry.pid, SIGKILL);
+        signal_process(entry.pid, SIGKILL);
         if (entry.pid > 0) {
             waitpid(entry.pid, nullptr, 0);
         }
@@ -259,19 +259,30 @@
 }
 
 void system_under_test::kill_process(std::string const& name) {
-    end_process(processes_.at(name).pid, SIGKILL);
+    signal_process(processes_.at(name).pid, SIGKILL);
     waitpid(processes_.at(name).pid, nullptr, 0);
     processes_.at(name).pid = 0;
 }
 
 void system_under_test::stop_process(std::string const& name) {
-    end_process(processes_.at(name).pid, SIGTERM);
+    signal_process(processes_.at(name).pid, SIGTERM);
+}
+
+void system_under_test::pause_process(std::string const& name) {
+    signal_process(processes_.at(name).pid, SIGSTOP);
 }
 
 void system_under_test::start_again(std::string const& name) {
     launch(name);
 }
 
+std::string system_under_test::log_end(std::string const& process) const {
+    constexpr std::size_t shown = 2'000; // bytes, some ten lines
+    std::ifstream file{folder_ + "/" + process + ".log"};
+    std::string const text{std::istreambuf_iterator<char>{file}, {}};
+    return text.substr(text.size() - std::min(text.size(), shown));
+}
+
 std::optional<int> system_under_test::wait_exit(std::string const& name, int seconds) {
     pid_t& pid = processes_.at(name).pid;
     int status = 0;
--- a/tests/path_system.h
+++ b/tests/path_system.h
@@ -40,6 +40,7 @@
 
     void kill_process(std::string const& name); // SIGKILL
     void stop_process(std::string const& name); // SIGTERM
+    void pause_process(std::string const& name); // SIGSTOP
     void start_again(std::string const& name);
     // Waits until a process has ended; the exit code, or nothing after the patience.
     std::optional<int> wait_exit(std::string const& name, int seconds = 20);
@@ -60,6 +61,8 @@
     std::string http_of(std::string const& process) const;
     std::string control_list() const;
     std::string folder() const { return folder_; }
+    // The last lines of a process's log, to print with a failed check.
+    std::string log_end(std::string const& process) const;
 
 private:
     struct process {
