--- /dev/null
+++ b/tests/http_server_test.cpp
@@ -0,0 +1,108 @@
+// The HTTP server and client in one process, over loopback.
+#include "http.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <functional>
+#include <future>
+#include <iostream>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+using namespace fireflycrank;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr unsigned http_threads = 4;
+constexpr int callers = 32;
+constexpr auto patience = 30s; // a run takes under a second
+
+// Streams to callers, as the daemons do: handlers and the writer of the streams share one mutex.
+struct streaming_daemon {
+    std::mutex mutex;
+    std::vector<std::shared_ptr<http_response>> streams;
+    std::atomic<unsigned> waiting{0}; ///< handlers that wait for the mutex
+
+    void on_request(std::shared_ptr<http_response> const& response) {
+        ++waiting;
+        std::lock_guard const lock{mutex};
+        --waiting;
+        response->start(200, {});
+        streams.push_back(response);
+    }
+    std::size_t stream_count() {
+        std::lock_guard const lock{mutex};
+        return streams.size();
+    }
+};
+
+void wait_until(std::function<bool()> const& condition) {
+    while (!condition()) {
+        std::this_thread::sleep_for(1ms);
+    }
+}
+
+void stream_to_callers(streaming_daemon& daemon, std::string const& address) {
+    std::vector<std::thread> threads;
+    std::atomic<int> whole{0};
+    auto const add_caller = [&] {
+        threads.emplace_back([&] {
+            http_client_request request;
+            request.address = address;
+            request.path = "/stream";
+            auto const answer = call_http(request);
+            whole += answer && answer.value().body == "text" ? 1 : 0;
+        });
+    };
+    add_caller();
+    wait_until([&] { return daemon.stream_count() == 1; });
+    {
+        std::lock_guard const lock{daemon.mutex};
+        for (int caller = 1; caller < callers; ++caller) {
+            add_caller();
+        }
+        wait_until([&] { return daemon.waiting == http_threads; });
+        daemon.streams.front()->write("te");
+        daemon.streams.front()->write("xt");
+        daemon.streams.front()->finish();
+    }
+    wait_until([&] { return daemon.stream_count() == callers; });
+    {
+        std::lock_guard const lock{daemon.mutex};
+        for (std::size_t index = 1; index < daemon.streams.size(); ++index) {
+            daemon.streams[index]->write("text");
+            daemon.streams[index]->finish();
+        }
+    }
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    CHECK(whole == callers);
+}
+
+} // namespace
+
+TEST_CASE("streams are written while all threads of the server wait for the writer's lock") {
+    // Guards against a deadlock: a write that waits for a task of the pool, under a lock that every
+    // thread of the pool is waiting for.
+    start_http_threads(http_threads);
+    streaming_daemon daemon;
+    std::string const address = "127.0.0.1:18437";
+    auto const server = http_server::open(
+        address, 1024, [&daemon](http_request const&, std::shared_ptr<http_response> const& response) {
+            daemon.on_request(response);
+        });
+    REQUIRE(server);
+    auto run = std::async(std::launch::async, [&] { stream_to_callers(daemon, address); });
+    if (run.wait_for(patience) != std::future_status::ready) {
+        // The threads can't be joined any more.
+        std::cerr << "tests/http_server_test.cpp: ERROR: the server is in a deadlock\n";
+        std::_Exit(EXIT_FAILURE);
+    }
+    run.get();
+    server.value()->close();
+}
