Print the steps under two maps when the check fails

The check was seen to fail: with rank 0 answering the previous map for its first step under a new one, check_steps reports the split steps (and not_held 3).

--- a/tests/path_mapswitch_test.cpp
+++ b/tests/path_mapswitch_test.cpp
@@ -91,7 +91,7 @@
             }
         }
     }
-    CHECK(split == std::vector<std::uint64_t>{});
+    CHECK(json(split).dump() == "[]");
     CHECK(record.at("not_held") == 0);
     CHECK(record.at("refused") == 0);
     return maps;
