Add fireflycrank explain: the story of one request from processes' logs

Reads any logs, prints every line that names the request or its order key, and each process's last word on the request's target, service, group and configuration before it. The quick start prints its stories with it and fails if the entry's or the agent's side is missing.

--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # Installs, builds, and runs a small system on loopback: three control replicas, two entries, three
 # agents with stand-in engines. Sends one plain, one streamed and one non-idempotent request, prints
-# the answers and their decision log lines, and stops everything that it started.
+# the answers and their stories from the logs, and stops everything that it started.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bash scripts/build.sh
@@ -86,7 +86,10 @@
 sleep 1.2
 for answer in plain stream order; do
     id=$(tr -d '\r' < "$run/$answer" | sed -n 's/^[xX]-[rR]equest-[iI]d: //p')
-    grep -h "\"request\":\"$id\"" "$run"/log/entry-*.log "$run"/log/runner-*.log "$run"/log/desk-*.log
+    "$bin/fireflycrank" explain "$id" "$run"/log/*.log | tee "$run/story-$answer"
+    # Both sides of the path have to be in the story.
+    grep -q ' entry-1 ' "$run/story-$answer" && grep -qE ' (runner-[12]|desk-1) ' "$run/story-$answer" ||
+        { echo "the story of $id lacks its entry or its agent" >&2; exit 1; }
 done
 runs=$(curl -s -m 5 http://127.0.0.1:19003/runs)
 echo "== runs at the service: $runs"
--- a/src/main_operator.cpp
+++ b/src/main_operator.cpp
@@ -1,5 +1,6 @@
 #include "benchrun.h"
 #include "digest.h"
+#include "explain.h"
 #include "http.h"
 #include "operatorclient.h"
 #include "settings.h"
@@ -8,6 +9,8 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <random>
 
@@ -36,6 +39,7 @@
     bool as_json{false};
     std::uint64_t seed{1};
     std::vector<std::string> only;
+    std::vector<std::string> logs;
 };
 
 int report(error const& failure, operator_options const& options) {
@@ -236,6 +240,33 @@
     return exit_ok;
 }
 
+int run_explain(operator_options const& options) {
+    log_collection collected;
+    for (std::string const& path : options.logs) {
+        std::ifstream file{path};
+        if (!file) {
+            std::cerr << "cannot read the log " << path << "; name a file that exists\n";
+            return exit_refused;
+        }
+        read_log(collected, std::filesystem::path{path}.stem().string(), file);
+    }
+    if (options.logs.empty()) {
+        read_log(collected, "stdin", std::cin);
+    }
+    if (collected.unreadable > 0) {
+        std::cerr << collected.unreadable << " lines are no log events and were left out\n";
+    }
+    auto const story = explain_request(std::move(collected.lines), options.name);
+    if (story.empty()) {
+        std::cerr << "no line names " << options.name
+                  << "; give the logs of all gateways or entries of that time, and look for "
+                     "log_lines_dropped in them\n";
+        return exit_failed;
+    }
+    std::cout << render_story(story);
+    return exit_ok;
+}
+
 void add_control_option(CLI::App& command, operator_options& options) {
     command.add_option("--control", options.control, "HTTP addresses of control replicas, ip:port")
         ->delimiter(',')
@@ -307,6 +338,10 @@
         command->add_option("--operator", options.operator_name, "your name, for the logs")
             ->required();
     }
+    auto* explain =
+        app.add_subcommand("explain", "tell the story of one request from processes' logs");
+    explain->add_option("id", options.name, "the request's id")->required();
+    explain->add_option("logs", options.logs, "logs of any processes; standard input without any");
     auto* settings = app.add_subcommand("settings", "print the reference of all settings");
     auto* bench = app.add_subcommand("bench", "measure; the last line is the signature");
     bench->add_option("--seed", options.seed, "seed of all random choices")->capture_default_str();
@@ -339,6 +374,8 @@
         code = run_action(options, "/v1/orders/prune");
     } else if (*release) {
         code = run_action(options, "/v1/quarantine/release");
+    } else if (*explain) {
+        code = run_explain(options);
     } else if (*settings) {
         std::cout << settings_reference();
     } else if (*bench) {
