Fail a path test whose process cannot be started

Cause: posix_spawn's result was ignored; while binaries were being rebuilt it failed, the pid stayed 0, and kill_process then waited for any child for ever (one test_path hung so; two others reported a target that never came).

--- a/tests/path_system.cpp
+++ b/tests/path_system.cpp
@@ -1,5 +1,7 @@
 #include "path_system.h"
 
+#include <doctest/doctest.h>
+
 #include <nlohmann/json.hpp>
 
 #include <arpa/inet.h>
@@ -105,8 +107,10 @@
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, errors.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
-    posix_spawn(&entry.pid, arguments[0], &actions, nullptr, arguments.data(), environ);
+    int const failure =
+        posix_spawn(&entry.pid, arguments[0], &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
+    REQUIRE(failure == 0);
 }
 
 void system_under_test::start_control(int replicas) {
