--- a/src/directorysync.cpp
+++ b/src/directorysync.cpp
@@ -61,7 +61,11 @@
         contact.daemons.erase(address);
     }
     contact.daemons_revision = std::max(contact.daemons_revision, update.daemons_revision);
+    if (update.config_version > contact.config_version) {
+        contact.config_at = now;
+    }
     contact.config_version = update.config_version;
+    contact.zone = update.zone;
     contact.confirmed = update.confirmed;
     contact.heard_at = now;
     for (auto const& address : update.registrars) {
@@ -71,6 +75,28 @@
     }
 }
 
+std::optional<std::string> configuration_source(directory_subscriber const& subscriber,
+                                                std::uint64_t above, time_point now) {
+    std::optional<std::string> near;
+    std::optional<std::string> far;
+    bool near_may_follow = false;
+    time_point announced_at = now;
+    for (auto const& [address, contact] : subscriber.registrars) {
+        if (now - contact.heard_at > subscriber.settings.update_life) {
+            continue;
+        }
+        bool const is_near = contact.zone == subscriber.self.zone;
+        if (contact.config_version <= above) {
+            near_may_follow = near_may_follow || is_near;
+            continue;
+        }
+        announced_at = std::min(announced_at, contact.config_at);
+        (is_near ? near : far) = address;
+    }
+    bool const waits = near_may_follow && now - announced_at < subscriber.settings.zone_patience;
+    return near || waits ? near : far;
+}
+
 std::map<std::string, daemon_entry> listed_daemons(directory_subscriber const& subscriber,
                                                    daemon_role role, time_point now) {
     std::map<std::string, daemon_entry> listed;
@@ -175,6 +201,7 @@
     update.registrars.push_back(publisher.address);
     update.config_version = context.config_version;
     update.confirmed = context.confirmed;
+    update.zone = publisher.zone;
     auto const found = publisher.subscribers.find(address);
     bool const known = found != publisher.subscribers.end();
     directory_publisher::subscriber_state const fresh;
--- a/src/directorysync.h
+++ b/src/directorysync.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -50,6 +51,7 @@
     std::vector<std::string> registrars;
     std::uint64_t config_version{0};
     bool confirmed{false}; ///< the registrar knows that its configuration is the newest
+    std::string zone;      ///< of the registrar
 };
 
 /// Times of the exchange.
@@ -64,6 +66,9 @@
     duration keep_gone{std::chrono::seconds{30}};
     /// A registrar that sent no update for this long is not believed about processes.
     duration update_life{std::chrono::milliseconds{1600}};
+    /// So long a configuration is awaited from a registrar of the own zone before another one is
+    /// asked: a beat and its answer are shorter, and it is a fifth of the time to take effect.
+    duration zone_patience{std::chrono::milliseconds{400}};
     /// A learned registrar that was silent for this long is forgotten, unless settings name it.
     duration forget_registrar{std::chrono::seconds{30}};
 };
@@ -76,7 +81,9 @@
     std::uint64_t daemons_revision{0};
     std::map<std::string, daemon_entry> daemons; ///< by address
     std::uint64_t config_version{0};
+    time_point config_at{}; ///< `config_version` rose
     bool confirmed{false};
+    std::string zone;
     time_point heard_at{};
     time_point learned_at{};
     time_point next_beat{};
@@ -127,9 +134,19 @@
 std::map<std::string, daemon_entry> listed_daemons(directory_subscriber const& subscriber,
                                                    daemon_role role, time_point now);
 
+/// The registrar to ask for a configuration. One in the own zone goes first, since bytes between
+/// zones are dear; another one is asked when none there has the version in time.
+/// @param subscriber the subscriber
+/// @param above the version that the subscriber has
+/// @param now the time
+/// @return its address; nothing when no registrar has a higher version, or it is worth waiting
+std::optional<std::string> configuration_source(directory_subscriber const& subscriber,
+                                                std::uint64_t above, time_point now);
+
 /// The publisher's part of a registrar.
 struct directory_publisher {
     std::string address; ///< this registrar's own
+    std::string zone;
     std::uint64_t run{0};
     sync_settings settings;
     struct subscriber_state {
--- a/src/directorywire.cpp
+++ b/src/directorywire.cpp
@@ -133,6 +133,7 @@
     }
     wired.set_config_version(plain.config_version);
     wired.set_confirmed(plain.confirmed);
+    wired.set_zone(plain.zone);
     return wired.SerializeAsString();
 }
 
@@ -153,6 +154,7 @@
     plain.registrars.assign(wired.registrars().begin(), wired.registrars().end());
     plain.config_version = wired.config_version();
     plain.confirmed = wired.confirmed();
+    plain.zone = wired.zone();
     return plain;
 }
 
@@ -193,7 +195,7 @@
 std::string serialize(configuration_body const& plain) {
     wire::ConfigurationBody wired;
     wired.set_version(plain.version);
-    wired.set_content(plain.content);
+    wired.set_packed(plain.packed);
     return wired.SerializeAsString();
 }
 
@@ -201,7 +203,7 @@
     BOOST_OUTCOME_TRY(wired, parse_as<wire::ConfigurationBody>(bytes));
     configuration_body plain;
     plain.version = wired.version();
-    plain.content = std::move(*wired.mutable_content());
+    plain.packed = std::move(*wired.mutable_packed());
     return plain;
 }
 
--- a/src/directorywire.h
+++ b/src/directorywire.h
@@ -36,7 +36,7 @@
 /// The service configuration as the operator sent it.
 struct configuration_body {
     std::uint64_t version{0};
-    std::string content;
+    std::string packed; ///< the text, see pack_text
 };
 
 /// The outcome of a replicated install command.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -72,7 +72,7 @@
     if (owner.config != nullptr && body.version <= owner.config->version) {
         return;
     }
-    auto decoded = platform::decode_configuration(body.content);
+    auto decoded = platform::decode_packed_configuration(body.packed);
     auto const checked = decoded ? index_config(decoded.value()) : ok();
     if (!decoded || !checked) {
         log_bounded(owner.loop, events::configuration_unreadable,
@@ -106,16 +106,20 @@
     }
 }
 
-void ask_for_config(gateway& owner, std::string const& from, std::uint64_t announced) {
+void ask_for_config(gateway& owner) {
     auto const have = owner.config == nullptr ? 0 : owner.config->version;
     auto const at = loop_now(owner.loop);
-    bool const waiting = owner.asked_version >= announced && at - owner.asked_at < config_patience;
-    if (announced <= have || waiting) {
+    auto const source = configuration_source(owner.subscriber, have, at);
+    if (!source) {
+        return;
+    }
+    auto const announced = owner.subscriber.registrars.at(*source).config_version;
+    if (owner.asked_version >= announced && at - owner.asked_at < config_patience) {
         return;
     }
     owner.asked_version = announced;
     owner.asked_at = at;
-    owner.link->send(from, configuration_request_type, serialize_configuration_request(have));
+    owner.link->send(*source, configuration_request_type, serialize_configuration_request(have));
 }
 
 // The views follow the directory; a new incarnation starts without history.
@@ -154,7 +158,7 @@
         take_announcement(owner.directory, said, announcement_source::peer, at);
     }
     sync_views(owner);
-    ask_for_config(owner, from, update.config_version);
+    ask_for_config(owner);
     confirm_config(owner);
     update_readiness(owner);
 }
--- a/src/rankagent.cpp
+++ b/src/rankagent.cpp
@@ -25,8 +25,10 @@
 constexpr std::chrono::milliseconds slow_period{1'000};
 // The engine is on the same VM and answers reports at once.
 constexpr std::chrono::milliseconds report_limit{500};
-// Only the coordinator needs the engine's traits, and they hardly change.
+// Only the coordinator needs the engine's traits, and they hardly change. A configuration of
+// several hundred kilobytes occupies the VM's link for some hundred milliseconds.
 constexpr std::chrono::milliseconds config_period{500};
+constexpr std::chrono::seconds config_refresh{30};
 constexpr unsigned ok_status = 200;
 
 // The id under which the engine announced itself from this VM's address.
@@ -126,7 +128,7 @@
     if (body.version <= agent.config_version) {
         return;
     }
-    auto decoded = platform::decode_configuration(body.content);
+    auto decoded = platform::decode_packed_configuration(body.packed);
     if (!decoded || !index_config(decoded.value())) {
         log_bounded(agent.loop, events::configuration_unreadable, {{"version", body.version}});
         return;
@@ -140,16 +142,15 @@
 
 void ask_for_config(rank_agent& agent) {
     auto const at = loop_now(agent.loop);
-    if (!agent.coordinator || at - agent.config_asked_at < config_period) {
+    bool const changing = agent.coordinator && agent.coordinator->stage != switch_stage::idle;
+    auto const period = agent.traits ? duration{config_refresh} : duration{config_period};
+    if (!agent.coordinator || changing || at - agent.config_asked_at < period) {
         return;
     }
-    for (auto const& [address, contact] : agent.subscriber.registrars) {
-        if (contact.config_version > agent.config_version) {
-            agent.config_asked_at = at;
-            agent.link->send(address, configuration_request_type,
-                             serialize_configuration_request(agent.config_version));
-            return;
-        }
+    if (auto const source = configuration_source(agent.subscriber, agent.config_version, at)) {
+        agent.config_asked_at = at;
+        agent.link->send(*source, configuration_request_type,
+                         serialize_configuration_request(agent.config_version));
     }
 }
 
--- a/src/registrar.cpp
+++ b/src/registrar.cpp
@@ -6,6 +6,7 @@
 #include "directorysync.h"
 #include "directorywire.h"
 #include "engineclient.h"
+#include "packedtext.h"
 #include "peeraddress.h"
 #include "peerlink.h"
 #include "platform/enginecalls.h"
@@ -207,7 +208,14 @@
         call.writer->send(unavailable, {}, {});
         return;
     }
-    send_json(*call.writer, ok_status, std::move(body.value().content));
+    auto text = unpack_text(body.value().packed, max_configuration_bytes);
+    if (!text) {
+        log_bounded(daemon.loop, events::configuration_unreadable,
+                    {{"version", body.value().version}, {"error", describe(text.error())}});
+        call.writer->send(unavailable, {}, {});
+        return;
+    }
+    send_json(*call.writer, ok_status, std::move(text).value());
 }
 
 void note_changes(registrar_daemon& daemon) {
@@ -231,7 +239,7 @@
                   {{"version", daemon.services.current.version},
                    {"before", daemon.last_version},
                    {"from", "log"},
-                   {"bytes", daemon.services.current.content.size()}});
+                   {"bytes", daemon.services.current.packed.size()}});
         daemon.last_version = daemon.services.current.version;
         push_updates(daemon);
     }
@@ -337,7 +345,7 @@
     auto const number = ++daemon.last_request;
     auto const submitted =
         submit(*daemon.node, number,
-               {service_table_kind, serialize(configuration_body{version, request.body}),
+               {service_table_kind, serialize(configuration_body{version, pack_text(request.body)}),
                 wall_now(daemon.loop.clock)});
     if (!submitted) {
         log_bounded(daemon.loop, events::change_refused,
@@ -694,6 +702,7 @@
     daemon.address = peer_address(daemon.settings, daemon.settings.ip);
     daemon.run = static_cast<std::uint64_t>(wall_now(daemon.loop.clock).time_since_epoch().count());
     daemon.publisher.address = daemon.address;
+    daemon.publisher.zone = daemon.settings.zone;
     daemon.publisher.run = daemon.run;
     daemon.subscriber.self.address = daemon.address;
     daemon.subscriber.self.role = daemon_role::registrar;
--- a/tests/control_open_test.cpp
+++ b/tests/control_open_test.cpp
@@ -151,7 +151,7 @@
     CHECK(apply(table, {5, "one"}).installed);
     CHECK_FALSE(apply(table, {5, "two"}).installed);
     CHECK_FALSE(apply(table, {4, "old"}).installed);
-    CHECK(table.current.content == "one");
+    CHECK(table.current.packed == "one");
     CHECK(apply(table, {6, "new"}).installed);
 
     control_state state;
@@ -162,7 +162,7 @@
     register_services(other, restored);
     REQUIRE(parse_tables(other, bytes));
     CHECK(restored.current.version == 6);
-    CHECK(restored.current.content == "new");
+    CHECK(restored.current.packed == "new");
 }
 
 } // namespace fireflycrank
--- a/tests/gateway_directory_test.cpp
+++ b/tests/gateway_directory_test.cpp
@@ -3,6 +3,7 @@
 #include "departures.h"
 #include "directorysync.h"
 #include "directorywire.h"
+#include "packedtext.h"
 #include "rng.h"
 
 #include <doctest/doctest.h>
@@ -177,6 +178,54 @@
     CHECK_FALSE(listed_daemons(subscriber, daemon_role::gateway, at_ms(3'100)).at("g:2").ready);
 }
 
+TEST_CASE("a configuration is fetched in the own zone, and elsewhere only after a while") {
+    // Guards against every gateway fetching each large configuration across zones.
+    directory_subscriber subscriber;
+    subscriber.self.zone = "a";
+    configure_registrars(subscriber, {"near:1", "far:1"}, at_ms(0));
+    auto const hear = [&](std::string const& from, std::uint64_t version, std::int64_t at) {
+        directory_update update;
+        update.registrar_run = 1;
+        update.config_version = version;
+        update.zone = from == "near:1" ? "a" : "b";
+        take_update(subscriber, from, update, at_ms(at));
+    };
+    hear("near:1", 4, 0);
+    hear("far:1", 4, 0);
+    CHECK_FALSE(configuration_source(subscriber, 4, at_ms(0)));
+    hear("far:1", 5, 100);
+    CHECK_FALSE(configuration_source(subscriber, 4, at_ms(150)));
+    SUBCASE("the near registrar follows in time") {
+        hear("near:1", 5, 200);
+        CHECK(configuration_source(subscriber, 4, at_ms(200)) == "near:1");
+        CHECK(configuration_source(subscriber, 4, at_ms(900)) == "near:1");
+    }
+    SUBCASE("the near registrar stays behind") {
+        hear("near:1", 4, 480);
+        CHECK(configuration_source(subscriber, 4, at_ms(501)) == "far:1");
+    }
+    SUBCASE("the near registrar is silent") {
+        hear("far:1", 5, 2000);
+        CHECK(configuration_source(subscriber, 4, at_ms(2000)) == "far:1");
+    }
+}
+
+TEST_CASE("a packed text is restored, and a torn or overlong one is refused") {
+    // Guards against a configuration that expands without bound or is taken in part.
+    std::string text;
+    for (int line = 0; line < 20'000; ++line) {
+        text += "{\"name\":\"r-" + std::to_string(line) + "\",\"path_prefix\":\"/p/\"},";
+    }
+    auto const packed = pack_text(text);
+    CHECK(packed.size() < text.size() / 4);
+    CHECK(unpack_text(packed, text.size()).value() == text);
+    CHECK_FALSE(unpack_text(packed, text.size() - 1));
+    CHECK_FALSE(unpack_text(packed.substr(0, packed.size() / 2), text.size()));
+    CHECK_FALSE(unpack_text("no zlib data", 100));
+    CHECK_FALSE(unpack_text("", 100));
+    CHECK(unpack_text(pack_text(""), 100).value().empty());
+}
+
 TEST_CASE("a silent process leaves the list, and an older run of it changes nothing") {
     directory_publisher publisher;
     publisher.address = "r:1";
