Let gateways follow different targets, so that one that becomes free is not flooded

Load test first (gateway_load, 'a target that becomes free is not flooded'): 38 sends to 8 free places without the change, at most 12 with it. Change: a gateway uses the 8 targets of a service that rendezvous hashing gives it while one of them is sound; each target is followed by 3 gateways or more.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -5,6 +5,7 @@
 #include "platform/callheaders.h"
 #include "platform/operatorconfig.h"
 #include "stopplan.h"
+#include "subset.h"
 
 #include <algorithm>
 #include <chrono>
@@ -151,6 +152,30 @@
     });
 }
 
+// Gateways follow different targets of a service, each target being followed by some of them.
+void follow_targets(gateway& owner) {
+    // With fewer targets a gateway's load would depend on few of them; with more, too many gateways
+    // would send to a target that has become free before its next report.
+    constexpr subset_options options{8, 3, 1.0};
+    std::vector<subset_node> gateways{{owner.subscriber.self.address, owner.settings.zone}};
+    for (auto const& [address, entry] :
+         listed_daemons(owner.subscriber, daemon_role::gateway, loop_now(owner.loop))) {
+        if (address != owner.subscriber.self.address) {
+            gateways.push_back({address, entry.zone});
+        }
+    }
+    std::map<std::string, std::vector<subset_node>> targets;
+    for (auto const& [id, view] : owner.targets) {
+        if (view.said.condition == target_condition::ready) {
+            targets[view.said.service].push_back({id, view.said.zone});
+        }
+    }
+    owner.followed.clear();
+    for (auto const& [service, nodes] : targets) {
+        owner.followed[service] = choose_subset(gateways.front(), gateways, nodes, options);
+    }
+}
+
 void on_update(gateway& owner, std::string const& from, directory_update const& update) {
     auto const at = loop_now(owner.loop);
     take_update(owner.subscriber, from, update, at);
@@ -337,6 +362,7 @@
     run_every(owner.loop, slow_period, [&daemon, &owner] {
         forget_old(owner.directory, {}, loop_now(owner.loop));
         sync_views(owner);
+        follow_targets(owner);
         for (auto const& listener : {daemon.readiness, daemon.directory, daemon.metrics}) {
             if (listener) {
                 listener->sweep();
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -43,6 +43,7 @@
     directory_subscriber subscriber;
     target_directory directory;
     std::map<std::string, target_view> targets;
+    std::map<std::string, std::vector<std::string>> followed; ///< targets by service, sorted
     choice_settings choice;
     std::map<std::string, retry_ledger> ledgers; ///< by service
     retry_bound bound;
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -201,6 +201,8 @@
         if (sent_to_.size() >= progress_.max_attempts) {
             filter.only = sent_to_;
         }
+        auto const followed = owner_.followed.find(service_);
+        filter.followed = followed == owner_.followed.end() ? nullptr : &followed->second;
         return choose_target(owner_.targets, service_, owner_.settings.zone, filter, owner_.choice,
                              owner_.random, loop_now(owner_.loop));
     }
--- a/src/targetchoice.cpp
+++ b/src/targetchoice.cpp
@@ -39,13 +39,24 @@
     return now < view.avoid_until || group_closed ? 1 : 0;
 }
 
+bool is_followed(target_filter const& filter, std::string const& id) {
+    return filter.followed == nullptr || filter.followed->empty() ||
+           std::binary_search(filter.followed->begin(), filter.followed->end(), id);
+}
+
 struct scored_target {
     target_view const* view{nullptr};
     int doubt{0};
+    bool followed{true};
     double load{0};
     double cost{0};
 };
 
+// The order of preference apart from the cost.
+int rank_of(scored_target const& one) {
+    return 2 * one.doubt + (one.followed ? 0 : 1);
+}
+
 } // namespace
 
 double estimated_load(target_view const& view, choice_settings const& settings, time_point now) {
@@ -71,7 +82,7 @@
             !passes(filter, id)) {
             continue;
         }
-        scored_target one{&view, doubt(view, in_groups, settings, now),
+        scored_target one{&view, doubt(view, in_groups, settings, now), is_followed(filter, id),
                           estimated_load(view, settings, now), 0};
         auto const slots = std::max(1.0, static_cast<double>(view.said.slots));
         auto const found = view.group ? paces.find(view.group->name) : paces.end();
@@ -88,13 +99,15 @@
     }
     auto const best = std::min_element(
         scored.begin(), scored.end(), [](scored_target const& left, scored_target const& right) {
-            return left.doubt != right.doubt ? left.doubt < right.doubt : left.cost < right.cost;
+            auto const left_rank = rank_of(left);
+            auto const right_rank = rank_of(right);
+            return left_rank != right_rank ? left_rank < right_rank : left.cost < right.cost;
         });
     auto const slots = std::max(1.0, static_cast<double>(best->view->said.slots));
     auto const bound = best->cost + settings.equal_margin / slots;
     std::vector<scored_target const*> equal;
     for (auto const& one : scored) {
-        if (one.doubt == best->doubt && one.cost <= bound) {
+        if (rank_of(one) == rank_of(*best) && one.cost <= bound) {
             equal.push_back(&one);
         }
     }
--- a/src/targetchoice.h
+++ b/src/targetchoice.h
@@ -28,6 +28,9 @@
 struct target_filter {
     std::vector<std::string> excluded;
     std::vector<std::string> only; ///< empty: all
+    /// Sorted ids of the targets that this gateway uses while they are sound; empty: all. Gateways
+    /// that follow different targets do not all send to one that has just become free.
+    std::vector<std::string> const* followed{nullptr};
 };
 
 /// A target's place in a group that works in lock-step.
--- a/tests/gateway_load_test.cpp
+++ b/tests/gateway_load_test.cpp
@@ -2,6 +2,7 @@
 // counters.
 #include "callqueue.h"
 #include "rng.h"
+#include "subset.h"
 #include "targetchoice.h"
 
 #include <doctest/doctest.h>
@@ -132,6 +133,57 @@
     CHECK(sent.size() == 16);
 }
 
+// Pattern: at the crest every gateway has calls that wait, and one of 64 targets becomes free. All
+// gateways hear of it at the same moment.
+TEST_CASE("a target that becomes free is not flooded by all gateways at once") {
+    constexpr unsigned free_places = 8;
+    std::vector<subset_node> gateways;
+    for (int number = 0; number < 38; ++number) {
+        gateways.push_back({"10.1.0." + std::to_string(number) + ":7340",
+                            "z" + std::to_string(number % 3)});
+    }
+    auto fleet = make_fleet(64, 10);
+    std::vector<subset_node> targets;
+    for (auto& [id, view] : fleet) {
+        view.load = load_sample{at_ms(0), 10, 0, 0, 1.0};
+        targets.push_back({id, view.said.zone});
+    }
+    rng random{5};
+    unsigned most = 0;
+    unsigned unused = 0;
+    for (auto const& [freed, ignored] : fleet) {
+        auto seen = fleet;
+        seen.at(freed).load = load_sample{at_ms(0), 10 - free_places, 0, 0, 1.0};
+        unsigned sent = 0;
+        for (auto const& gateway : gateways) {
+            auto const followed = choose_subset(gateway, gateways, targets, {8, 3, 1.0});
+            target_filter filter;
+            filter.followed = &followed;
+            auto const choice =
+                choose_target(seen, "s", gateway.zone, filter, {}, random, at_ms(100));
+            sent += choice.id == freed ? 1 : 0;
+        }
+        most = std::max(most, sent);
+        unused += sent == 0 ? 1 : 0;
+    }
+    CHECK(most <= free_places + 4); // a few may queue there
+    CHECK(unused == 0);
+}
+
+// Pattern: all targets that a gateway follows have failed.
+TEST_CASE("a gateway uses other targets when none that it follows is sound") {
+    auto fleet = make_fleet(4, 12);
+    rng random{6};
+    std::vector<std::string> const followed{fleet.begin()->first};
+    target_filter filter;
+    filter.followed = &followed;
+    CHECK(choose_target(fleet, "s", "z0", filter, {}, random, at_ms(100)).id == followed.front());
+    fleet.begin()->second.avoid_until = at_ms(500);
+    auto const other = choose_target(fleet, "s", "z0", filter, {}, random, at_ms(100));
+    CHECK(other.id != followed.front());
+    CHECK(other.sound);
+}
+
 // Pattern: half of the targets are slow; their queues show it in the reports.
 TEST_CASE("slow targets get less") {
     auto fleet = make_fleet(8, 12);
