Report a target's load often to the gateways that follow it, seldom to the others

A gateway uses 8 to 12 targets of a service. Change: gateways tell the agents of followed targets once a second; others get a report every 500 ms. Test: gateway_load, 'reports go often to gateways that follow a target'.

--- a/src/directorywire.h
+++ b/src/directorywire.h
@@ -21,6 +21,7 @@
 inline constexpr std::string_view configuration_request_type = "dir.wantconfig";
 inline constexpr std::string_view configuration_body_type = "dir.config";
 inline constexpr std::string_view engine_load_type = "dir.load";
+inline constexpr std::string_view follow_type = "dir.follow"; // a gateway to an agent; no body
 
 inline constexpr std::string_view rank_status_type = "dir.rank";
 inline constexpr std::string_view hold_request_type = "dir.hold";
--- a/src/engineload.h
+++ b/src/engineload.h
@@ -5,6 +5,7 @@
 #include "clock.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace fireflycrank {
@@ -29,4 +30,32 @@
     std::chrono::duration<double, std::milli> pass{0}; ///< smoothed time of a pass of the group
 };
 
+/// How often reports go to a gateway. They are many: each agent sends to every gateway.
+struct load_send_settings {
+    /// To a gateway that follows the target: about two passes of a busy engine.
+    duration period{std::chrono::milliseconds{140}};
+    /// To the others, which need the target only when theirs fail; a quarter of a report's life.
+    duration slow_period{std::chrono::milliseconds{500}};
+    /// A gateway tells every second that it follows the target; two may be lost.
+    duration follow_life{std::chrono::seconds{3}};
+};
+
+/// A gateway that reads an agent's reports.
+struct load_reader {
+    std::optional<time_point> followed_at; ///< it told last that it follows the target
+    std::optional<time_point> sent_at;     ///< of the last report
+};
+
+/// Whether a report is due.
+/// @param reader the gateway
+/// @param settings the periods
+/// @param now the time
+/// @return true when a report is to be sent
+inline bool load_due(load_reader const& reader, load_send_settings const& settings,
+                     time_point now) {
+    bool const follows = reader.followed_at && now - *reader.followed_at < settings.follow_life;
+    return !reader.sent_at ||
+           now - *reader.sent_at >= (follows ? settings.period : settings.slow_period);
+}
+
 } // namespace fireflycrank
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -188,6 +188,25 @@
     update_readiness(owner);
 }
 
+// Asks the agent of a followed target for frequent reports.
+void tell_follow(gateway& owner, std::string const& agent, std::string const& target) {
+    constexpr std::chrono::seconds period{1};
+    auto const view = owner.targets.find(target);
+    if (view == owner.targets.end()) {
+        return;
+    }
+    auto const list = owner.followed.find(view->second.said.service);
+    bool const follows = list != owner.followed.end() &&
+                         std::binary_search(list->second.begin(), list->second.end(), target);
+    auto const at = loop_now(owner.loop);
+    auto const told = owner.follow_told_at.find(agent);
+    if (!follows || (told != owner.follow_told_at.end() && at - told->second < period)) {
+        return;
+    }
+    owner.follow_told_at[agent] = at;
+    owner.link->send_datagram(agent, follow_type, {});
+}
+
 void on_message(gateway& owner, peer_message const& message) {
     if (message.type == update_type) {
         if (auto const update = parse_update(message.body)) {
@@ -204,6 +223,7 @@
     } else if (message.type == engine_load_type) {
         if (auto const report = parse_engine_load(message.body)) {
             take_engine_load(owner, report.value());
+            tell_follow(owner, message.sender, report.value().target_id);
             return;
         }
     }
@@ -363,6 +383,9 @@
         forget_old(owner.directory, {}, loop_now(owner.loop));
         sync_views(owner);
         follow_targets(owner);
+        std::erase_if(owner.follow_told_at, [&](auto const& told) {
+            return loop_now(owner.loop) - told.second > owner.choice.report_life;
+        });
         for (auto const& listener : {daemon.readiness, daemon.directory, daemon.metrics}) {
             if (listener) {
                 listener->sweep();
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -44,6 +44,7 @@
     target_directory directory;
     std::map<std::string, target_view> targets;
     std::map<std::string, std::vector<std::string>> followed; ///< targets by service, sorted
+    std::map<std::string, time_point> follow_told_at;         ///< to rank agents, by address
     choice_settings choice;
     std::map<std::string, retry_ledger> ledgers; ///< by service
     retry_bound bound;
--- a/src/rankagent.cpp
+++ b/src/rankagent.cpp
@@ -19,8 +19,6 @@
 // In groups of more ranks each rank sends its counts less often, so that the coordinator's link and
 // processor carry the same.
 constexpr unsigned counted_ranks = 8;
-// Reports are read more often during a map change; the gateways need no more than this.
-constexpr std::chrono::milliseconds load_period{140};
 constexpr std::chrono::milliseconds sync_period{100};
 constexpr std::chrono::milliseconds slow_period{1'000};
 // The engine is on the same VM and answers reports at once.
@@ -45,10 +43,18 @@
 void send_load(rank_agent& agent) {
     auto const id = target_id(agent);
     auto const at = loop_now(agent.loop);
-    if (id.empty() || at - agent.load_sent_at < load_period) {
+    std::vector<std::string> due;
+    auto const gateways = listed_daemons(agent.subscriber, daemon_role::gateway, at);
+    for (auto const& [address, entry] : gateways) {
+        if (load_due(agent.load_readers[address], load_send_settings{}, at)) {
+            due.push_back(address);
+        }
+    }
+    std::erase_if(agent.load_readers,
+                  [&](auto const& reader) { return !gateways.contains(reader.first); });
+    if (id.empty() || due.empty()) {
         return;
     }
-    agent.load_sent_at = at;
     engine_load load;
     load.target_id = id;
     load.born = agent.directory.targets.at(id).said.born;
@@ -71,8 +77,8 @@
         }
     }
     auto const bytes = serialize(load);
-    for (auto const& [address, entry] :
-         listed_daemons(agent.subscriber, daemon_role::gateway, at)) {
+    for (auto const& address : due) {
+        agent.load_readers.at(address).sent_at = at;
         agent.link->send_datagram(address, engine_load_type, bytes);
     }
 }
@@ -180,6 +186,10 @@
         read_report(agent);
         return true;
     }
+    if (message.type == follow_type) {
+        agent.load_readers[message.sender].followed_at = loop_now(agent.loop);
+        return true;
+    }
     if (message.type == rank_instruction_type) {
         auto const instruction = parse_rank_instruction(message.body);
         return instruction && (on_instruction(agent, instruction.value()), true);
--- a/src/rankagent.h
+++ b/src/rankagent.h
@@ -7,6 +7,7 @@
 #include "directorysync.h"
 #include "enginereport.h"
 #include "eventloop.h"
+#include "engineload.h"
 #include "expertplace.h"
 #include "groupswitch.h"
 #include "peerlink.h"
@@ -51,7 +52,7 @@
     bool read_again{false}; ///< something changed while a report was being read
     bool answering{true};
     std::uint64_t loads_sent{0};
-    time_point load_sent_at{};
+    std::map<std::string, load_reader> load_readers; ///< gateways by peer address
     time_point counted_at{};
     time_point busy_until{}; ///< a map change is under way: reports are read more often
 
--- a/tests/gateway_load_test.cpp
+++ b/tests/gateway_load_test.cpp
@@ -1,6 +1,7 @@
 // Loads that a gateway must stand, each named after its pattern. Decisions only: targets are
 // counters.
 #include "callqueue.h"
+#include "engineload.h"
 #include "rng.h"
 #include "subset.h"
 #include "targetchoice.h"
@@ -184,6 +185,31 @@
     CHECK(other.sound);
 }
 
+// Pattern: many gateways and agents; reports to gateways that do not use a target are a load of
+// their own.
+TEST_CASE("reports go often to gateways that follow a target and seldom to others") {
+    load_send_settings const settings;
+    load_reader follower;
+    load_reader other;
+    unsigned to_follower = 0;
+    unsigned to_other = 0;
+    for (std::int64_t ms = 0; ms < 10'000; ms += 10) {
+        if (ms % 1'000 == 0 && ms < 5'000) {
+            follower.followed_at = at_ms(ms);
+        }
+        for (auto* reader : {&follower, &other}) {
+            if (load_due(*reader, settings, at_ms(ms))) {
+                reader->sent_at = at_ms(ms);
+                ++(reader == &follower ? to_follower : to_other);
+            }
+        }
+    }
+    CHECK(to_other == 20);
+    // Followed until 7 s: the last word came at 4 s and counts for 3 s.
+    CHECK(to_follower >= 50 + 6);
+    CHECK(to_follower <= 50 + 7);
+}
+
 // Pattern: half of the targets are slow; their queues show it in the reports.
 TEST_CASE("slow targets get less") {
     auto fleet = make_fleet(8, 12);
