Plan a sudden change of expert demand for what it leads to; count often while passes are long

The first plan, some 0.1 s after, used a window that still held half of the old choices; after its map was in force the skew was 1.6 to 2.9 again, and a second plan followed 0.6 s later. Passes of 120 to 170 ms meanwhile make every stream late. In groups of 32 ranks the counts themselves were up to 0.6 s old. Change: while passes take over 60 ms each rank sends its counts every 150 ms, also in large groups; a sudden plan carries on the difference between the two windows. Test: gateway_place, 'a sudden change of demand'.

--- a/src/expertplace.cpp
+++ b/src/expertplace.cpp
@@ -1,6 +1,7 @@
 #include "expertplace.h"
 
 #include <algorithm>
+#include <numeric>
 #include <cmath>
 #include <optional>
 
@@ -256,4 +257,27 @@
     return plan;
 }
 
+expert_demand extrapolate_demand(expert_demand const& fresh, expert_demand const& steady,
+                                 double further) {
+    expert_demand led_to = fresh;
+    for (std::size_t set = 0; set < fresh.size() && set < steady.size(); ++set) {
+        double const fresh_total = std::accumulate(fresh[set].begin(), fresh[set].end(), 0.0);
+        double const steady_total = std::accumulate(steady[set].begin(), steady[set].end(), 0.0);
+        if (fresh_total <= 0 || steady_total <= 0) {
+            continue;
+        }
+        double total = 0;
+        for (std::size_t expert = 0; expert < fresh[set].size(); ++expert) {
+            double const before = steady[set][expert] * fresh_total / steady_total;
+            double const now = fresh[set][expert];
+            led_to[set][expert] = std::max(0.0, now + further * (now - before));
+            total += led_to[set][expert];
+        }
+        for (double& one : led_to[set]) {
+            one *= fresh_total / total;
+        }
+    }
+    return led_to;
+}
+
 } // namespace fireflycrank
--- a/src/rankagent.cpp
+++ b/src/rankagent.cpp
@@ -16,8 +16,8 @@
 constexpr std::chrono::milliseconds tick_period{50};
 constexpr std::chrono::milliseconds report_period{200};
 constexpr std::chrono::milliseconds counts_period{150};
-// In groups of more ranks each rank sends its counts less often, so that the coordinator's link and
-// processor carry the same.
+// In groups of more ranks each rank sends its counts less often while passes are short, so that the
+// coordinator's link and processor carry the same.
 constexpr unsigned counted_ranks = 8;
 constexpr std::chrono::milliseconds sync_period{100};
 constexpr std::chrono::milliseconds slow_period{1'000};
@@ -245,8 +245,10 @@
     run_every(agent.loop, counts_period, [&agent] {
         auto const at = loop_now(agent.loop);
         auto const size = agent.report && agent.report->group ? agent.report->group->size : 1U;
-        if (at - agent.counted_at >=
-            counts_period * (std::max(size, counted_ranks) / counted_ranks) - tick_period) {
+        // While passes are long, a plan from old counts costs callers more than the messages do.
+        auto const ranks = agent.pass_time < easy_pass ? std::max(size, counted_ranks) : 1U;
+        auto const periods = std::max(1U, ranks / counted_ranks);
+        if (at - agent.counted_at >= counts_period * periods - tick_period) {
             agent.counted_at = at;
             read_counts(agent);
         }
--- a/src/rankagent.h
+++ b/src/rankagent.h
@@ -24,6 +24,9 @@
 
 namespace fireflycrank {
 
+/// Passes up to about half of the pause between events that callers accept count as short.
+inline constexpr std::chrono::milliseconds easy_pass{60};
+
 /// How often the choices of each expert were made lately.
 struct demand_window {
     expert_demand demand; ///< decayed counts by set and expert
--- a/src/rankswitch.cpp
+++ b/src/rankswitch.cpp
@@ -20,14 +20,15 @@
 constexpr double least_choices = 300;
 // The fresh window decides when it shows this much more imbalance: demand has changed suddenly.
 constexpr double sudden_skew = 0.3;
+// A change is seen about 0.15 s after it began. The fresh window then holds 58 parts in 100 of the
+// new demand and the steady one 16: what they differ by is as much as is still missing.
+constexpr double carried_on = 1.0;
 // Pause between the end of one change and the next plan.
 constexpr std::chrono::milliseconds plan_pause{100};
 // A change must lower the most loaded rank by this part of the mean; copies are priced.
 constexpr double least_gain = 0.10;
 // While passes are short, imbalance delays nobody.
 constexpr double least_gain_at_ease = 0.25;
-// About half of the pause between events that callers accept.
-constexpr std::chrono::milliseconds easy_pass{60};
 constexpr std::chrono::milliseconds pass_sample{150};
 constexpr double pass_weight = 0.5; // of the newest sample
 // Copies of one change on one rank; each takes a link time of about 150 ms, and the whole change
@@ -250,12 +251,11 @@
     return true;
 }
 
-expert_demand const& current_demand(rank_agent const& agent, group_experts const& present) {
-    auto const& steady = agent.steady_demand.demand;
+bool is_sudden(rank_agent const& agent, group_experts const& present) {
     auto const& fresh = agent.fresh_demand.demand;
-    bool const sudden = has_demand(agent.fresh_demand) &&
-                        place_skew(present, fresh) > place_skew(present, steady) + sudden_skew;
-    return sudden ? fresh : steady;
+    return has_demand(agent.fresh_demand) &&
+           place_skew(present, fresh) >
+               place_skew(present, agent.steady_demand.demand) + sudden_skew;
 }
 
 void plan(rank_agent& agent) {
@@ -270,8 +270,10 @@
     if (!is_whole(present, agent.steady_demand.demand)) {
         return;
     }
-    auto const& demand = current_demand(agent, present);
-    bool const sudden = &demand == &agent.fresh_demand.demand;
+    bool const sudden = is_sudden(agent, present);
+    auto const& steady = agent.steady_demand.demand;
+    auto const demand =
+        sudden ? extrapolate_demand(agent.fresh_demand.demand, steady, carried_on) : steady;
     auto const copies = place_skew(present, demand) > great_skew ? many_copies : few_copies;
     auto const planned =
         plan_places(present, demand, {agent.traits->places, agent.traits->spare, copies});
--- a/tests/gateway_place_test.cpp
+++ b/tests/gateway_place_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <numeric>
+
 #include <algorithm>
 #include <cmath>
 #include <set>
@@ -112,6 +114,32 @@
     CHECK(place_skew(map, none) == doctest::Approx(1.0));
 }
 
+// Pattern: other experts are in demand from one moment on; the windows still hold earlier choices.
+TEST_CASE("a sudden change of demand is carried on to what it leads to") {
+    expert_demand const before{{100, 100, 100, 100}};
+    expert_demand const after{{10, 10, 370, 10}};
+    auto const mixed = [&](double part) {
+        expert_demand demand = before;
+        for (std::size_t expert = 0; expert < 4; ++expert) {
+            demand[0][expert] += part * (after[0][expert] - before[0][expert]);
+        }
+        return demand;
+    };
+    auto const told = extrapolate_demand(mixed(0.58), mixed(0.16), 1.0);
+    double total = 0;
+    for (std::size_t expert = 0; expert < 4; ++expert) {
+        CHECK(told[0][expert] == doctest::Approx(after[0][expert]).epsilon(0.01));
+        total += told[0][expert];
+    }
+    CHECK(total == doctest::Approx(400));
+    // An expert that falls out of demand gets no negative share, and the total stays.
+    auto const beyond = extrapolate_demand(mixed(0.9), mixed(0.2), 1.0);
+    CHECK(beyond[0][0] == 0);
+    CHECK(std::accumulate(beyond[0].begin(), beyond[0].end(), 0.0) == doctest::Approx(400));
+    // An empty window changes nothing.
+    CHECK(extrapolate_demand(after, {{0, 0, 0, 0}}, 1.0) == after);
+}
+
 TEST_CASE("a large group is planned as well") {
     rng random{5};
     group_shape shape{32, 12, 128, {5, 2, 2}};
