--- a/src/agentcore.cpp
+++ b/src/agentcore.cpp
@@ -214,8 +214,8 @@
     if (core.crash.open) {
         return;
     }
-    core.crash = {
-        true, now, make_engine_crash_report(core.attempts, core.crashes + 1), {}, false, false};
+    core.crash = {true, now,   make_engine_crash_report(core.attempts, core.crashes + 1),
+                  {},   false, false};
     for (auto const& [job, running] : core.jobs) {
         if (running.running) {
             core.crash.jobs.insert(job);
--- a/src/controld.h
+++ b/src/controld.h
@@ -15,7 +15,8 @@
 /// the log.
 /// @param settings the process's settings
 /// @param force_sole_member make this replica the only member of a new cluster
-/// @return the state after a regular stop; the error that prevented the start or stopped the replica
+/// @return the state after a regular stop; the error that prevented the start or stopped the
+/// replica
 result<daemon_state> run_control(process_config const& settings, bool force_sole_member);
 
 } // namespace fireflycrank
--- a/src/expertplace.cpp
+++ b/src/expertplace.cpp
@@ -1,8 +1,8 @@
 #include "expertplace.h"
 
 #include <algorithm>
-#include <numeric>
 #include <cmath>
+#include <numeric>
 #include <optional>
 
 namespace fireflycrank {
--- a/src/expertplace.h
+++ b/src/expertplace.h
@@ -48,8 +48,8 @@
 /// @return 1 for perfect balance
 double place_skew(group_experts const& map, expert_demand const& demand);
 
-/// Demand to which a sudden change leads. Shortly after it the fresh window still holds choices from
-/// before; what it differs from the steady window is carried on.
+/// Demand to which a sudden change leads. Shortly after it the fresh window still holds choices
+/// from before; what it differs from the steady window is carried on.
 /// @param fresh demand by set and expert in a short window
 /// @param steady demand in a longer window, with the same sets and experts
 /// @param further how much further the difference goes, as a part of it
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -37,14 +37,6 @@
 // for longer; what arrives meanwhile waits instead of using up the caller's retry.
 constexpr std::chrono::milliseconds config_wait{1'500};
 constexpr int config_wait_divisor = 3; // of the caller's time, so that a retry still has time
-// Part of a target's slots that streams fill while nobody is short of time. A pass takes longer
-// with each running stream, and with fewer of them a change in the demand for experts does not
-// lengthen it over the pause that callers accept.
-constexpr double easy_share = 0.75;
-// Requests that a target may have beyond its slots for callers that are short of time: the next one
-// is there when a slot becomes free.
-constexpr double room_beyond_slots = 1.0;
-constexpr std::chrono::milliseconds short_of_time{40};
 // Time from the send to the first event of a stream at a target with a free slot.
 constexpr std::chrono::milliseconds usual_first_event{150};
 // Callers abandon a stream after two seconds without an event; a refusal before that leaves them
@@ -135,6 +127,28 @@
         on_time_over();
     }
 
+    // Takes a place if there is one.
+    bool admit() {
+        auto const choice = choose();
+        if (!has_room(choice)) {
+            return false;
+        }
+        leave_queue();
+        send(choice);
+        return true;
+    }
+
+    void lose_patience() {
+        auto const choice = choose();
+        leave_queue();
+        bool const untried = progress_.offers == 0 && progress_.unconnected == 0;
+        if (progress_.kind != call_kind::stream && untried && !choice.id.empty()) {
+            send(choice); // a doubtful target is better than none
+            return;
+        }
+        give_up(choice.id.empty() ? "no_target" : "no_room");
+    }
+
 private:
     void begin_routing() {
         auto const& config = owner_.config;
@@ -207,17 +221,12 @@
                              owner_.random, loop_now(owner_.loop));
     }
 
-    // A plain service sheds what is too much at once; a stream would wait there behind others.
     [[nodiscard]] bool has_room(target_choice const& choice) const {
-        if (!choice.sound || progress_.kind != call_kind::stream || choice.slots == 0) {
-            return choice.sound;
-        }
-        auto const slots = static_cast<double>(choice.slots);
-        auto const left = on_time_until() - loop_now(owner_.loop);
-        if (progress_.answer_started || (left > duration::zero() && left < short_of_time)) {
-            return choice.load < slots + room_beyond_slots;
-        }
-        return choice.load < (left > duration::zero() ? slots * easy_share : slots);
+        place_need need;
+        need.stream = progress_.kind == call_kind::stream;
+        need.resumes = progress_.answer_started;
+        need.left = on_time_until() - loop_now(owner_.loop);
+        return fireflycrank::has_room(choice, need);
     }
 
     // Sent by then, a stream can still have its first event in time.
@@ -264,32 +273,6 @@
         }
     }
 
-public:
-    // Takes a place if there is one.
-    bool admit() {
-        auto const choice = choose();
-        if (!has_room(choice)) {
-            return false;
-        }
-        leave_queue();
-        send(choice);
-        return true;
-    }
-
-    void lose_patience() {
-        auto const choice = choose();
-        leave_queue();
-        bool const untried = progress_.offers == 0 && progress_.unconnected == 0;
-        if (progress_.kind != call_kind::stream && untried && !choice.id.empty()) {
-            send(choice); // a doubtful target is better than none
-            return;
-        }
-        give_up(choice.id.empty() ? "no_target" : "no_room");
-    }
-
-    [[nodiscard]] std::string const& service() const { return service_; }
-
-private:
     void send(target_choice const& choice) {
         auto const at = loop_now(owner_.loop);
         target_ = choice.id;
--- a/src/rankagent.h
+++ b/src/rankagent.h
@@ -5,9 +5,9 @@
 #pragma once
 
 #include "directorysync.h"
+#include "engineload.h"
 #include "enginereport.h"
 #include "eventloop.h"
-#include "engineload.h"
 #include "expertplace.h"
 #include "groupswitch.h"
 #include "peerlink.h"
--- a/src/targetchoice.cpp
+++ b/src/targetchoice.cpp
@@ -6,6 +6,15 @@
 
 namespace {
 
+// Part of a target's slots that streams fill while nobody is short of time. A pass takes longer
+// with each running stream, and with fewer of them a change in the demand for experts does not
+// lengthen it over the pause that callers accept.
+constexpr double easy_share = 0.75;
+// Requests that a target may have beyond its slots for callers that are short of time: the next one
+// is there when a slot becomes free.
+constexpr double room_beyond_slots = 1.0;
+constexpr std::chrono::milliseconds short_of_time{40};
+
 bool contains(std::vector<std::string> const& ids, std::string const& id) {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
@@ -120,6 +129,19 @@
     return choice;
 }
 
+bool has_room(target_choice const& choice, place_need const& need) {
+    // A plain service sheds what is too much at once; a stream would wait there behind others.
+    if (!choice.sound || !need.stream || choice.slots == 0) {
+        return choice.sound;
+    }
+    auto const slots = static_cast<double>(choice.slots);
+    bool const late = need.left <= duration::zero();
+    if (need.resumes || (!late && need.left < short_of_time)) {
+        return choice.load < slots + room_beyond_slots;
+    }
+    return choice.load < (late ? slots : slots * easy_share);
+}
+
 void note_group_closed(std::map<std::string, target_view>& targets, std::string const& of,
                        time_point now) {
     auto const found = targets.find(of);
--- a/src/targetchoice.h
+++ b/src/targetchoice.h
@@ -99,6 +99,19 @@
                             target_filter const& filter, choice_settings const& settings,
                             rng& random, time_point now);
 
+/// What a request needs a place for.
+struct place_need {
+    bool stream{false};
+    bool resumes{false}; ///< its answer has begun and broke off
+    duration left{};     ///< in which it has to be sent to be on time; negative when it is late
+};
+
+/// Whether a request may be sent to a target now instead of waiting at the gateway.
+/// @param choice the target
+/// @param need the request
+/// @return false when it should wait
+bool has_room(target_choice const& choice, place_need const& need);
+
 /// Notes that a group does not work now, as one of its targets said.
 /// @param targets all targets by id
 /// @param of a target of the group
--- a/tests/gateway_load_test.cpp
+++ b/tests/gateway_load_test.cpp
@@ -140,8 +140,8 @@
     constexpr unsigned free_places = 8;
     std::vector<subset_node> gateways;
     for (int number = 0; number < 38; ++number) {
-        gateways.push_back({"10.1.0." + std::to_string(number) + ":7340",
-                            "z" + std::to_string(number % 3)});
+        gateways.push_back(
+            {"10.1.0." + std::to_string(number) + ":7340", "z" + std::to_string(number % 3)});
     }
     auto fleet = make_fleet(64, 10);
     std::vector<subset_node> targets;
@@ -210,6 +210,26 @@
     CHECK(to_follower <= 50 + 7);
 }
 
+// Pattern: a burst of streams. A pass of the engine takes longer with each of them.
+TEST_CASE("streams fill part of the slots while they have time, all when they are late") {
+    target_choice choice{"t1", 0, 12, 1, {}, true};
+    auto const places = [&](place_need const& need) {
+        unsigned count = 0;
+        for (choice.load = 0; choice.load < 20 && has_room(choice, need); ++choice.load) {
+            ++count;
+        }
+        return count;
+    };
+    CHECK(places({true, false, std::chrono::milliseconds{200}}) == 9);
+    CHECK(places({true, false, std::chrono::milliseconds{30}}) == 13);
+    CHECK(places({true, false, std::chrono::milliseconds{-1}}) == 12);
+    CHECK(places({true, true, std::chrono::milliseconds{-1}}) == 13);
+    // A plain service sheds by itself, and nothing waits for a target that is not sound.
+    CHECK(places({false, false, std::chrono::milliseconds{200}}) == 20);
+    choice.sound = false;
+    CHECK(places({false, false, std::chrono::milliseconds{200}}) == 0);
+}
+
 // Pattern: half of the targets are slow; their queues show it in the reports.
 TEST_CASE("slow targets get less") {
     auto fleet = make_fleet(8, 12);
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -93,7 +93,8 @@
     streaming_daemon daemon;
     std::string const address = "127.0.0.1:18437";
     auto const server = http_server::open(
-        address, 1024, [&daemon](http_request const&, std::shared_ptr<http_response> const& response) {
+        address, 1024,
+        [&daemon](http_request const&, std::shared_ptr<http_response> const& response) {
             daemon.on_request(response);
         });
     REQUIRE(server);
--- a/tests/path_system.h
+++ b/tests/path_system.h
@@ -38,8 +38,8 @@
     // Runs the operator command; returns exit code and output.
     std::pair<int, std::string> operate(std::vector<std::string> const& arguments);
 
-    void kill_process(std::string const& name); // SIGKILL
-    void stop_process(std::string const& name); // SIGTERM
+    void kill_process(std::string const& name);  // SIGKILL
+    void stop_process(std::string const& name);  // SIGTERM
     void pause_process(std::string const& name); // SIGSTOP
     void start_again(std::string const& name);
     // Waits until a process has ended; the exit code, or nothing after the patience.
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -722,9 +722,9 @@
         flush=True,
     )
     for text in violations[:20]:
-        print(f"  {text}", flush=True)
+        print(f"BROKEN PROMISE soak seed {seed}: {text}", flush=True)
     if violations:
-        print(f"  logs: {folder}", flush=True)
+        print(f"logs: {folder}", flush=True)
     else:
         shutil.rmtree(folder)
     return not violations
