--- a/src/packedtext.cpp
+++ b/src/packedtext.cpp
@@ -1,6 +1,7 @@
 #include "packedtext.h"
 
 #include <algorithm>
+#define ZLIB_CONST // zlib then takes constant input
 #include <zlib.h>
 
 namespace fireflycrank {
@@ -11,8 +12,12 @@
 constexpr int level = Z_BEST_SPEED;
 constexpr std::size_t step_bytes = std::size_t{64} << 10U;
 
-Bytef* as_bytes(char const* text) {
-    return reinterpret_cast<Bytef*>(const_cast<char*>(text)); // zlib's input is not const
+Bytef const* as_bytes(std::string_view text) {
+    return reinterpret_cast<Bytef const*>(text.data());
+}
+
+Bytef* as_bytes(char* text) {
+    return reinterpret_cast<Bytef*>(text);
 }
 
 } // namespace
@@ -23,7 +28,7 @@
     // Fails only for a buffer below the bound or without memory; the result is then empty and
     // refused by unpack_text.
     int const outcome =
-        compress2(as_bytes(packed.data()), &size, as_bytes(text.data()), text.size(), level);
+        compress2(as_bytes(packed.data()), &size, as_bytes(text), text.size(), level);
     packed.resize(outcome == Z_OK ? size : 0);
     return packed;
 }
@@ -34,7 +39,7 @@
         return fail(error_kind::unavailable, "no memory to restore a compressed text",
                     "give the process more memory");
     }
-    stream.next_in = as_bytes(packed.data());
+    stream.next_in = as_bytes(packed);
     stream.avail_in = static_cast<uInt>(packed.size());
     std::string text;
     int outcome = Z_OK;
--- a/tests/gateway_load_test.cpp
+++ b/tests/gateway_load_test.cpp
@@ -139,6 +139,7 @@
 TEST_CASE("a target that becomes free is not flooded by all gateways at once") {
     constexpr unsigned free_places = 8;
     std::vector<subset_node> gateways;
+    gateways.reserve(38);
     for (int number = 0; number < 38; ++number) {
         gateways.push_back(
             {"10.1.0." + std::to_string(number) + ":7340", "z" + std::to_string(number % 3)});
