--- a/src/directorysync.cpp
+++ b/src/directorysync.cpp
@@ -94,7 +94,10 @@
         (is_near ? near : far) = address;
     }
     bool const waits = near_may_follow && now - announced_at < subscriber.settings.zone_patience;
-    return near || waits ? near : far;
+    if (near || waits) {
+        return near;
+    }
+    return far;
 }
 
 std::map<std::string, daemon_entry> listed_daemons(directory_subscriber const& subscriber,
