--- a/src/benchcontrol.cpp
+++ b/src/benchcontrol.cpp
@@ -179,7 +179,9 @@
 // Fills a real folder, closes it and measures until all changes are applied again. The election
 // timeout runs on a simulated clock and is no part of the figure.
 double measure_recovery(std::uint64_t seed, std::size_t snapshot_entries, bool& recovered) {
-    auto folder = (std::filesystem::temp_directory_path() / "fireflycrank-bench-XXXXXX").string();
+    std::string const replaced_by_mkdtemp(6, 'X');
+    auto folder = (std::filesystem::temp_directory_path() / "fireflycrank-bench-").string() +
+                  replaced_by_mkdtemp;
     if (::mkdtemp(folder.data()) == nullptr) {
         return -1;
     }
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -10,6 +10,7 @@
 #include <iostream>
 #include <mutex>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 using namespace fireflycrank;
@@ -91,7 +92,10 @@
     // thread of the pool is waiting for.
     start_http_threads(http_threads);
     streaming_daemon daemon;
-    std::string const address = "127.0.0.1:18437";
+    // A loopback address of this process, so that test runs side by side do not meet.
+    auto const host = static_cast<unsigned>(getpid()) % 60'000;
+    std::string const address =
+        "127.77." + std::to_string(host / 250) + "." + std::to_string(host % 250 + 1) + ":18437";
     auto const server = http_server::open(
         address, 1024,
         [&daemon](http_request const&, std::shared_ptr<http_response> const& response) {
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -737,7 +737,12 @@
     parser.add_argument("--seeds", type=int, default=1, help="number of seeds, one after the other")
     parser.add_argument("--seconds", type=float, default=20.0, help="of faults in each run")
     parser.add_argument("--size", type=int, default=1, help="groups of runners; 3 gateways and 4 agents each")
-    parser.add_argument("--net", type=int, default=0, help="number of the loopback networks, for runs side by side")
+    parser.add_argument(
+        "--net",
+        type=int,
+        default=os.getpid() % 70,
+        help="number of the loopback networks, for runs side by side; default: by process id",
+    )
     parser.add_argument("--callers", type=int, default=12, help="for each group")
     options = parser.parse_args()
     good = [asyncio.run(run_seed(options, options.seed + n)) for n in range(options.seeds)]
