Attach each process to a few registrars; let patience with a peer follow its answers

Cause: every gateway and rank agent sent beats to every registrar. With 289 processes a registrar's 0.075 cores went into answers; it answered later than 0.8 s, was taken for dead by every peer, and was dialled again every 150 ms with a full update each time. No configuration was ever acknowledged.

Change: a gateway is attached to three registrars and an agent to two, by rendezvous hashing with one in the own zone; registrars tell each other which processes they hear. Gateways are told which targets fell silent instead of every announcement. Pushes take a bounded part of the processor. A link's patience doubles with each connection given up and follows the peer's answers; redials back off with jitter, and one connection of a peer is kept.

--- a/src/directorysync.cpp
+++ b/src/directorysync.cpp
@@ -23,18 +23,26 @@
         auto const last = std::max(contact.heard_at, contact.learned_at);
         return !contact.configured && now - last > subscriber.settings.forget_registrar;
     });
+    bool const is_agent = subscriber.self.role == daemon_role::rank_agent;
+    bool const is_registrar = subscriber.self.role == daemon_role::registrar;
+    if (!is_registrar) {
+        choose_attachments(subscriber, now);
+    }
     std::vector<std::string> known;
     for (auto const& [address, contact] : subscriber.registrars) {
-        known.push_back(address);
+        if (!is_agent) {
+            known.push_back(address);
+        }
     }
     std::vector<addressed<directory_beat>> beats;
     for (auto& [address, contact] : subscriber.registrars) {
-        if (address == subscriber.self.address || (!at_once && now < contact.next_beat)) {
+        bool const subscribed = is_registrar || contact.attached;
+        if (!subscribed || address == subscriber.self.address ||
+            (!at_once && now < contact.next_beat)) {
             continue;
         }
-        contact.next_beat = now + (subscriber.self.role == daemon_role::rank_agent
-                                       ? subscriber.settings.agent_beat_period
-                                       : subscriber.settings.beat_period);
+        contact.next_beat = now + (is_agent ? subscriber.settings.agent_beat_period
+                                            : subscriber.settings.beat_period);
         beats.push_back(
             {address,
              {subscriber.self, contact.run, contact.change, contact.daemons_revision, known}});
@@ -68,10 +76,27 @@
     contact.zone = update.zone;
     contact.confirmed = update.confirmed;
     contact.heard_at = now;
-    for (auto const& address : update.registrars) {
-        if (!subscriber.registrars.contains(address)) {
-            subscriber.registrars[address].learned_at = now;
+    for (auto const& [address, zone] : update.registrars) {
+        auto const [place, added] = subscriber.registrars.try_emplace(address);
+        place->second.zone = zone;
+        // Somebody hears it, so it is not forgotten for not being attached to.
+        place->second.learned_at = now;
+    }
+}
+
+void refresh_heard(target_directory& directory, sync_settings const& settings,
+                   directory_update const& update, time_point now) {
+    std::map<std::string_view, duration> unheard;
+    for (auto const& [id, age] : update.unheard) {
+        unheard[id] = age;
+    }
+    for (auto& [id, record] : directory.targets) {
+        if (record.said.condition == target_condition::gone) {
+            continue;
         }
+        auto const found = unheard.find(id);
+        auto const age = found == unheard.end() ? settings.name_unheard_after : found->second;
+        record.heard_at = std::max(record.heard_at, now - age);
     }
 }
 
@@ -100,38 +125,83 @@
     return far;
 }
 
+namespace {
+
+// Of two views of one run the one that says it is not ready is the newer one after a stop began; a
+// process becomes ready only once.
+daemon_entry newer_view(daemon_entry const& left, daemon_entry const& right) {
+    if (left.started != right.started) {
+        return left.started > right.started ? left : right;
+    }
+    auto view = right;
+    view.ready = left.ready && right.ready;
+    return view;
+}
+
+void merge_view(std::map<std::string, daemon_entry>& listed, daemon_entry const& entry) {
+    auto const [place, added] = listed.emplace(entry.address, entry);
+    if (!added) {
+        place->second = newer_view(place->second, entry);
+    }
+}
+
+} // namespace
+
 std::map<std::string, daemon_entry> listed_daemons(directory_subscriber const& subscriber,
                                                    daemon_role role, time_point now) {
     std::map<std::string, daemon_entry> listed;
-    for (auto const& [address, contact] : subscriber.registrars) {
-        // Rank agents hear less often.
-        auto const life = subscriber.self.role == daemon_role::rank_agent
-                              ? subscriber.settings.agent_life
-                              : subscriber.settings.update_life;
+    // Rank agents hear less often.
+    auto const life = subscriber.self.role == daemon_role::rank_agent
+                          ? subscriber.settings.agent_life
+                          : subscriber.settings.update_life;
+    for (auto const& [registrar, contact] : subscriber.registrars) {
         if (now - contact.heard_at > life) {
             continue;
         }
         for (auto const& [address, entry] : contact.daemons) {
-            if (entry.role != role) {
-                continue;
-            }
-            auto const [place, added] = listed.emplace(entry.address, entry);
-            if (!added && entry.started >= place->second.started) {
-                // Of two views of one run the one that says it is not ready is the newer one after
-                // a stop began; a process becomes ready only once.
-                bool const same_run = entry.started == place->second.started;
-                bool const ready = entry.ready && (!same_run || place->second.ready);
-                place->second = entry;
-                place->second.ready = ready;
+            if (entry.role == role) {
+                merge_view(listed, entry);
             }
         }
     }
     return listed;
 }
 
+std::map<std::string, daemon_entry> relayed_daemons(directory_subscriber const& subscriber,
+                                                    time_point now) {
+    std::map<std::string, daemon_entry> listed;
+    for (auto const& [registrar, contact] : subscriber.registrars) {
+        if (now - contact.heard_at > subscriber.settings.update_life) {
+            continue;
+        }
+        for (auto const& [address, entry] : contact.daemons) {
+            merge_view(listed, entry);
+        }
+    }
+    return listed;
+}
+
+namespace {
+
+bool is_relayed_role(daemon_role role) {
+    return role == daemon_role::gateway || role == daemon_role::rank_agent;
+}
+
+// Puts a process on the list; returns whether that changes it.
+bool list_daemon(directory_publisher& publisher, daemon_entry const& entry, bool direct) {
+    auto& listed = publisher.listed[entry.address];
+    if (listed.changed_at != 0 && listed.entry == entry && listed.direct == direct) {
+        return false;
+    }
+    listed = {entry, ++publisher.daemons_revision, direct};
+    publisher.dropped.erase(entry.address);
+    return true;
+}
+
+} // namespace
+
 bool take_beat(directory_publisher& publisher, directory_beat const& beat, time_point now) {
     auto& known = publisher.subscribers[beat.self.address];
-    bool const changed = known.entry != beat.self;
     if (beat.self.started < known.entry.started) {
         return false; // sent before the process restarted
     }
@@ -140,27 +210,23 @@
     bool const this_run = beat.registrar_run == publisher.run;
     known.known_change = this_run ? beat.known_change : 0;
     known.known_daemons = this_run ? beat.known_daemons : 0;
-    if (beat.self.role == daemon_role::registrar) {
-        publisher.registrars.insert(beat.self.address);
-    }
-    if (changed) {
-        known.changed_at = ++publisher.daemons_revision;
-        publisher.dropped.erase(beat.self.address);
-    }
-    return changed;
+    return list_daemon(publisher, beat.self, true);
 }
 
 namespace {
 
-// Gateways need gateways; an agent needs gateways and its group; registrars know each other by
-// address.
-bool concerns(daemon_entry const& subscriber, daemon_entry const& entry) {
+// Gateways need gateways; an agent needs gateways and its group. Registrars are told what this one
+// hears itself, so that none lists a process on another's word alone for longer than that lasts.
+bool concerns(daemon_entry const& subscriber, directory_publisher::listed_daemon const& listed) {
+    auto const& entry = listed.entry;
     switch (subscriber.role) {
     case daemon_role::gateway:
         return entry.role == daemon_role::gateway;
     case daemon_role::rank_agent:
         return entry.role == daemon_role::gateway ||
                (entry.role == daemon_role::rank_agent && entry.group == subscriber.group);
+    case daemon_role::registrar:
+        return is_relayed_role(entry.role) && listed.direct;
     default:
         return false;
     }
@@ -169,9 +235,18 @@
 void add_daemons(directory_publisher const& publisher, daemon_entry const& subscriber,
                  std::uint64_t known, directory_update& update) {
     update.all_daemons = known == 0;
-    for (auto const& [address, state] : publisher.subscribers) {
-        if (state.changed_at > known && concerns(subscriber, state.entry)) {
-            update.daemons.push_back(state.entry);
+    if (known == publisher.daemons_revision) {
+        return;
+    }
+    bool const is_registrar = subscriber.role == daemon_role::registrar;
+    for (auto const& [address, listed] : publisher.listed) {
+        if (listed.changed_at <= known) {
+            continue;
+        }
+        if (concerns(subscriber, listed)) {
+            update.daemons.push_back(listed.entry);
+        } else if (is_registrar && is_relayed_role(listed.entry.role)) {
+            update.gone_daemons.push_back(address); // no longer heard here
         }
     }
     for (auto const& [address, gone] : publisher.dropped) {
@@ -181,10 +256,16 @@
     }
 }
 
-// An agent needs to know how its own target announced itself.
+// An agent needs to know how its own target announced itself; registrars must hear every
+// announcement, the others what changes their choice.
 void add_targets(target_directory const& directory, daemon_entry const& subscriber,
                  std::uint64_t known, directory_update& update) {
-    update.targets = changes_after(directory, known);
+    if (known == directory.last_change) {
+        return;
+    }
+    update.targets = subscriber.role == daemon_role::registrar
+                         ? announcements_after(directory, known)
+                         : changes_after(directory, known);
     if (subscriber.role == daemon_role::rank_agent) {
         std::erase_if(update.targets, [&](target_announcement const& said) {
             return said.address != subscriber.client_address;
@@ -192,6 +273,30 @@
     }
 }
 
+void add_unheard(target_directory const& directory, daemon_entry const& subscriber,
+                 sync_settings const& settings, time_point now, directory_update& update) {
+    if (subscriber.role != daemon_role::gateway) {
+        return;
+    }
+    for (auto const& [id, record] : directory.targets) {
+        auto const age = now - record.heard_at;
+        if (record.said.condition != target_condition::gone && age > settings.name_unheard_after) {
+            update.unheard.push_back(
+                {id, std::chrono::duration_cast<std::chrono::milliseconds>(age)});
+        }
+    }
+}
+
+std::vector<registrar_name> registrar_names(directory_publisher const& publisher) {
+    std::vector<registrar_name> names{{publisher.address, publisher.zone}};
+    for (auto const& [address, listed] : publisher.listed) {
+        if (listed.entry.role == daemon_role::registrar) {
+            names.push_back({address, listed.entry.zone});
+        }
+    }
+    return names;
+}
+
 } // namespace
 
 directory_update update_for(directory_publisher const& publisher, std::string const& address,
@@ -200,8 +305,7 @@
     update.registrar_run = publisher.run;
     update.change = context.targets->last_change;
     update.daemons_revision = publisher.daemons_revision;
-    update.registrars = {publisher.registrars.begin(), publisher.registrars.end()};
-    update.registrars.push_back(publisher.address);
+    update.registrars = registrar_names(publisher);
     update.config_version = context.config_version;
     update.confirmed = context.confirmed;
     update.zone = publisher.zone;
@@ -211,6 +315,7 @@
     auto const& state = known ? found->second : fresh;
     add_targets(*context.targets, state.entry, state.known_change, update);
     add_daemons(publisher, state.entry, state.known_daemons, update);
+    add_unheard(*context.targets, state.entry, publisher.settings, context.now, update);
     return update;
 }
 
@@ -224,27 +329,35 @@
     }
 }
 
-bool drop_silent(directory_publisher& publisher, time_point now) {
-    std::vector<std::string> silent;
-    for (auto const& [address, state] : publisher.subscribers) {
+bool refresh_daemons(directory_publisher& publisher,
+                     std::map<std::string, daemon_entry> const& relayed, time_point now) {
+    std::erase_if(publisher.subscribers, [&](auto const& entry) {
+        auto const& state = entry.second;
         auto const life = state.entry.role == daemon_role::rank_agent
                               ? publisher.settings.agent_life
                               : publisher.settings.daemon_life;
-        if (now - state.heard_at > life) {
-            silent.push_back(address);
-        }
+        return now - state.heard_at > life;
+    });
+    bool changed = false;
+    for (auto const& [address, entry] : relayed) {
+        auto const own = publisher.subscribers.find(address);
+        bool const direct = own != publisher.subscribers.end();
+        auto const view = direct ? newer_view(own->second.entry, entry) : entry;
+        changed = list_daemon(publisher, view, direct) || changed;
     }
-    for (auto const& address : silent) {
-        publisher.subscribers.erase(address);
-        publisher.dropped[address] = {++publisher.daemons_revision, now};
+    for (auto place = publisher.listed.begin(); place != publisher.listed.end();) {
+        if (publisher.subscribers.contains(place->first) || relayed.contains(place->first)) {
+            ++place;
+            continue;
+        }
+        publisher.dropped[place->first] = {++publisher.daemons_revision, now};
+        place = publisher.listed.erase(place);
+        changed = true;
     }
     std::erase_if(publisher.dropped, [&](auto const& entry) {
         return now - entry.second.dropped_at > publisher.settings.keep_gone;
     });
-    std::erase_if(publisher.registrars, [&](std::string const& address) {
-        return !publisher.subscribers.contains(address);
-    });
-    return !silent.empty();
+    return changed;
 }
 
 } // namespace fireflycrank
--- a/src/directorysync.h
+++ b/src/directorysync.h
@@ -1,16 +1,18 @@
 /// @file
 /// How the directory of targets and of our own processes spreads. Registrars publish; gateways,
-/// rank agents and the other registrars subscribe with periodic beats. Every update repeats what
-/// the subscriber has not confirmed, so a lost message needs no repair of its own. Pure.
+/// rank agents and the other registrars subscribe with periodic beats. A gateway or agent is
+/// attached to a few registrars only, and registrars tell each other which processes they hear, so
+/// that a registrar's work does not grow with all processes. Every update repeats what the
+/// subscriber has not confirmed, so a lost message needs no repair of its own. Pure.
 #pragma once
 
+#include "attachment.h"
 #include "clock.h"
 #include "targetdirectory.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +42,19 @@
     std::vector<std::string> registrars;
 };
 
+/// A registrar as others are told of it.
+struct registrar_name {
+    std::string address;
+    std::string zone;
+    bool operator==(registrar_name const&) const = default;
+};
+
+/// A target that no registrar has heard of lately.
+struct unheard_target {
+    std::string id;
+    std::chrono::milliseconds unheard_for{0};
+};
+
 struct directory_update {
     std::uint64_t registrar_run{0};
     std::uint64_t change{0};
@@ -48,7 +63,8 @@
     bool all_daemons{false}; ///< `daemons` holds every process that concerns the subscriber
     std::vector<daemon_entry> daemons; ///< otherwise those that changed
     std::vector<std::string> gone_daemons;
-    std::vector<std::string> registrars;
+    std::vector<registrar_name> registrars;
+    std::vector<unheard_target> unheard; ///< of the targets that the registrar knows
     std::uint64_t config_version{0};
     bool confirmed{false}; ///< the registrar knows that its configuration is the newest
     std::string zone;      ///< of the registrar
@@ -71,6 +87,9 @@
     duration zone_patience{std::chrono::milliseconds{400}};
     /// A learned registrar that was silent for this long is forgotten, unless settings name it.
     duration forget_registrar{std::chrono::seconds{30}};
+    /// Targets unheard for longer are named to subscribers: two announcement periods.
+    duration name_unheard_after{std::chrono::milliseconds{2500}};
+    attachment_settings attachment;
 };
 
 /// A registrar as a subscriber sees it.
@@ -87,6 +106,11 @@
     time_point heard_at{};
     time_point learned_at{};
     time_point next_beat{};
+    bool attached{false}; ///< beats go to it
+    time_point attached_at{};
+    time_point avoid_until{};  ///< others are preferred until then
+    unsigned failures{0};      ///< times in a row that it was left for another one
+    time_point unsure_since{}; ///< it answers, but does not know whether its view is the newest
 };
 
 /// The subscriber's part of a process.
@@ -110,9 +134,10 @@
 void configure_registrars(directory_subscriber& subscriber,
                           std::vector<std::string> const& addresses, time_point now);
 
-/// The beats that are due.
+/// The beats that are due. A registrar sends them to all registrars, others to those that they are
+/// attached to (attachment.h).
 /// @param subscriber the subscriber
-/// @param at_once send to all, because something about this process changed
+/// @param at_once send to all of these, because something about this process changed
 /// @param now the time
 /// @return beats to send
 std::vector<addressed<directory_beat>> due_beats(directory_subscriber& subscriber, bool at_once,
@@ -134,6 +159,22 @@
 std::map<std::string, daemon_entry> listed_daemons(directory_subscriber const& subscriber,
                                                    daemon_role role, time_point now);
 
+/// Every process that some believed registrar hears itself, for a registrar's own list.
+/// @param subscriber the registrar's subscription to the others
+/// @param now the time
+/// @return entries by address
+std::map<std::string, daemon_entry> relayed_daemons(directory_subscriber const& subscriber,
+                                                    time_point now);
+
+/// Notes in a directory which targets a registrar has heard of lately. A target that the update
+/// does not name as unheard may have been silent for as long as that takes.
+/// @param directory the subscriber's targets
+/// @param settings the times
+/// @param update the registrar's update
+/// @param now the time
+void refresh_heard(target_directory& directory, sync_settings const& settings,
+                   directory_update const& update, time_point now);
+
 /// The registrar to ask for a configuration. One in the own zone goes first, since bytes between
 /// zones are dear; another one is asked when none there has the version in time.
 /// @param subscriber the subscriber
@@ -154,16 +195,21 @@
         time_point heard_at{};
         std::uint64_t known_change{0};
         std::uint64_t known_daemons{0};
-        std::uint64_t changed_at{0}; ///< daemons_revision at which `entry` changed
     };
     std::map<std::string, subscriber_state> subscribers; ///< by address
+    /// A process that this registrar or another one hears.
+    struct listed_daemon {
+        daemon_entry entry;
+        std::uint64_t changed_at{0}; ///< daemons_revision at which `entry` or `direct` changed
+        bool direct{false};          ///< heard by this registrar; only these are told to others
+    };
+    std::map<std::string, listed_daemon> listed; ///< by address
     struct dropped_daemon {
         std::uint64_t changed_at{0};
         time_point dropped_at{};
     };
     std::map<std::string, dropped_daemon> dropped; ///< by address
     std::uint64_t daemons_revision{1};
-    std::set<std::string> registrars;
 };
 
 /// What a registrar adds to its updates.
@@ -171,6 +217,7 @@
     target_directory const* targets{nullptr};
     std::uint64_t config_version{0};
     bool confirmed{false};
+    time_point now{};
 };
 
 /// Takes a beat.
@@ -196,10 +243,12 @@
 /// @param subscriber the subscriber
 void forget_daemons(directory_subscriber& subscriber);
 
-/// Drops processes that fell silent.
+/// Drops processes that fell silent, and takes over what the other registrars list.
 /// @param publisher the publisher
+/// @param relayed what the others hear, see relayed_daemons()
 /// @param now the time
 /// @return true when the list of processes changed
-bool drop_silent(directory_publisher& publisher, time_point now);
+bool refresh_daemons(directory_publisher& publisher,
+                     std::map<std::string, daemon_entry> const& relayed, time_point now);
 
 } // namespace fireflycrank
--- a/src/directorywire.cpp
+++ b/src/directorywire.cpp
@@ -128,8 +128,14 @@
     for (auto const& one : plain.daemons) {
         fill(*wired.add_daemons(), one);
     }
-    for (auto const& address : plain.registrars) {
+    for (auto const& [address, zone] : plain.registrars) {
         wired.add_registrars(address);
+        wired.add_registrar_zones(zone);
+    }
+    for (auto const& [id, age] : plain.unheard) {
+        auto& one = *wired.add_unheard();
+        one.set_id(id);
+        one.set_unheard_ms(age.count());
     }
     wired.set_config_version(plain.config_version);
     wired.set_confirmed(plain.confirmed);
@@ -151,7 +157,14 @@
     for (auto const& one : wired.daemons()) {
         plain.daemons.push_back(plain_of(one));
     }
-    plain.registrars.assign(wired.registrars().begin(), wired.registrars().end());
+    for (int at = 0; at < wired.registrars_size(); ++at) {
+        plain.registrars.push_back({wired.registrars(at), at < wired.registrar_zones_size()
+                                                              ? wired.registrar_zones(at)
+                                                              : std::string{}});
+    }
+    for (auto const& one : wired.unheard()) {
+        plain.unheard.push_back({one.id(), std::chrono::milliseconds{one.unheard_ms()}});
+    }
     plain.config_version = wired.config_version();
     plain.confirmed = wired.confirmed();
     plain.zone = wired.zone();
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -182,6 +182,7 @@
     for (auto const& said : update.targets) {
         take_announcement(owner.directory, said, announcement_source::peer, at);
     }
+    refresh_heard(owner.directory, owner.subscriber.settings, update, at);
     sync_views(owner);
     ask_for_config(owner);
     confirm_config(owner);
--- a/src/peerlink.cpp
+++ b/src/peerlink.cpp
@@ -1,5 +1,7 @@
 #include "peerlink.h"
 
+#include "digest.h"
+#include "linkpace.h"
 #include "messages.pb.h"
 
 #include <algorithm>
@@ -20,11 +22,10 @@
 constexpr std::size_t max_queue_bytes = 16U << 20U; // some large configurations for a slow peer
 constexpr std::size_t read_bytes = 64U << 10U;
 constexpr std::size_t max_datagram_bytes = 1400;
-// Twice the slowest round trip between regions with its queueing; below it a loaded peer would be
-// taken for a silent one.
-constexpr std::chrono::milliseconds silent_limit{800};
-constexpr std::chrono::milliseconds connect_limit{600};
-constexpr std::chrono::milliseconds redial_pause{150};
+constexpr link_pace_settings paces;
+// A connection whose peer has gone is closed by the kernel after this long.
+constexpr std::chrono::milliseconds inbound_life{3'200};
+constexpr std::chrono::milliseconds outbound_life{3'200};
 constexpr std::chrono::milliseconds idle_limit{30'000};
 
 using steady = std::chrono::steady_clock;
@@ -88,6 +89,7 @@
     std::string buffer;
     std::string confirmations;
     std::string writing;
+    std::string sender; ///< empty until its first message
     std::array<char, read_bytes> chunk{};
 };
 
@@ -106,6 +108,8 @@
     std::array<char, 2 * max_datagram_bytes> datagram{};
     std::map<std::string, std::shared_ptr<outbound>> peers;
     std::map<std::string, steady::time_point> redial_at;
+    std::map<std::string, link_pace> paces_of; ///< by peer
+    std::map<std::string, std::weak_ptr<inbound>> senders;
     peer_link_counters counters;
     bool closed{false};
 
@@ -113,7 +117,8 @@
     void receive_datagram();
     void read(std::shared_ptr<inbound> const& from);
     void confirm(std::shared_ptr<inbound> const& to);
-    bool deliver(inbound& from);
+    void note_sender(std::shared_ptr<inbound> const& from, std::string const& sender);
+    bool deliver(std::shared_ptr<inbound> const& from);
     void dial(std::string const& to, std::shared_ptr<outbound> const& peer);
     void write(std::string const& to, std::shared_ptr<outbound> const& peer);
     void read_confirmations(std::string const& to, std::shared_ptr<outbound> const& peer);
@@ -126,7 +131,7 @@
             return;
         }
         if (!failed) {
-            tune_socket(socket, silent_limit * 4);
+            tune_socket(socket, inbound_life);
             self->read(std::make_shared<inbound>(std::move(socket)));
         }
         self->accept();
@@ -151,22 +156,39 @@
                                  });
 }
 
+// A peer dials again only after it has given up its former connection.
+void peer_link::implementation::note_sender(std::shared_ptr<inbound> const& from,
+                                            std::string const& sender) {
+    if (from->sender == sender) {
+        return;
+    }
+    from->sender = sender;
+    auto& known = senders[sender];
+    if (auto const former = known.lock()) {
+        net_error ignored;
+        former->socket.close(ignored);
+    }
+    known = from;
+}
+
 // Hands out all whole frames in the buffer.
-bool peer_link::implementation::deliver(inbound& from) {
+bool peer_link::implementation::deliver(std::shared_ptr<inbound> const& from) {
+    auto& buffer = from->buffer;
     std::size_t begin = 0;
     std::uint32_t frames = 0;
-    while (from.buffer.size() - begin >= prefix_bytes) {
-        std::size_t const size = read_number(from.buffer.data() + begin);
+    while (buffer.size() - begin >= prefix_bytes) {
+        std::size_t const size = read_number(buffer.data() + begin);
         if (size > max_frame_bytes) {
             ++counters.malformed;
             return false;
         }
-        if (from.buffer.size() - begin - prefix_bytes < size) {
+        if (buffer.size() - begin - prefix_bytes < size) {
             break;
         }
         peer_message message;
-        if (read_envelope(from.buffer.data() + begin + prefix_bytes, size, message)) {
+        if (read_envelope(buffer.data() + begin + prefix_bytes, size, message)) {
             ++counters.received;
+            note_sender(from, message.sender);
             on_message(std::move(message));
         } else {
             ++counters.malformed;
@@ -174,9 +196,9 @@
         begin += prefix_bytes + size;
         ++frames;
     }
-    from.buffer.erase(0, begin);
+    buffer.erase(0, begin);
     if (frames > 0) {
-        from.confirmations += write_number(frames);
+        from->confirmations += write_number(frames);
     }
     return !closed;
 }
@@ -202,7 +224,7 @@
             return;
         }
         from->buffer.append(from->chunk.data(), size);
-        if (!self->deliver(*from)) {
+        if (!self->deliver(from)) {
             return;
         }
         self->confirm(from);
@@ -224,7 +246,7 @@
     if (found != peers.end() && found->second == peer) {
         peers.erase(found);
     }
-    redial_at[to] = steady::now() + redial_pause;
+    redial_at[to] = steady::now() + note_given_up(paces_of[to], paces, hash64(address + to));
 }
 
 void peer_link::implementation::dial(std::string const& to, std::shared_ptr<outbound> const& peer) {
@@ -243,7 +265,7 @@
                                        self->give_up(to, peer);
                                        return;
                                    }
-                                   tune_socket(peer->socket, silent_limit * 2);
+                                   tune_socket(peer->socket, outbound_life);
                                    peer->connected = true;
                                    self->read_confirmations(to, peer);
                                    self->write(to, peer);
@@ -296,7 +318,9 @@
             if (peer->confirmation_size == prefix_bytes) {
                 std::uint64_t const frames = read_number(peer->confirmation.data());
                 peer->unconfirmed -= std::min(frames, peer->unconfirmed);
-                peer->waiting_since = steady::now();
+                auto const at = steady::now();
+                note_confirmed(self->paces_of[to], at - peer->waiting_since);
+                peer->waiting_since = at;
                 peer->confirmation_size = 0;
             }
             self->read_confirmations(to, peer);
@@ -386,7 +410,8 @@
     std::vector<std::pair<std::string, std::shared_ptr<outbound>>> silent;
     for (auto const& [to, peer] : parts_->peers) {
         bool const waits = !peer->connected || peer->unconfirmed > 0;
-        auto const limit = peer->connected ? silent_limit : connect_limit;
+        auto const& pace = parts_->paces_of[to];
+        auto const limit = peer->connected ? silent_limit(pace, paces) : connect_limit(pace, paces);
         if ((waits && now - peer->waiting_since > limit) ||
             (!waits && now - peer->used_at > idle_limit)) {
             silent.emplace_back(to, peer);
@@ -396,6 +421,7 @@
         parts_->give_up(to, peer);
     }
     std::erase_if(parts_->redial_at, [&](auto const& entry) { return now >= entry.second; });
+    std::erase_if(parts_->senders, [](auto const& entry) { return entry.second.expired(); });
 }
 
 peer_link_counters const& peer_link::counters() const {
--- a/src/registrar.cpp
+++ b/src/registrar.cpp
@@ -25,6 +25,13 @@
 constexpr std::chrono::milliseconds slow_period{1'000};
 // A replica whose disk failed is opened again at this period; the directory is served meanwhile.
 constexpr std::chrono::milliseconds reopen_period{1'000};
+// Pause between pushes of updates, and the same as a multiple of the last push's time.
+constexpr std::chrono::milliseconds least_push_pause{50};
+constexpr int push_pauses = 4;
+// Silent processes are looked for at this period; a quarter of a gateway's life.
+constexpr std::chrono::milliseconds list_period{400};
+// Longer than gateways keep a silent target, so that none keeps one for not being told of it.
+constexpr std::chrono::seconds forget_silent_target{120};
 // A leader's message within this time proves that the applied configuration is the newest.
 constexpr std::chrono::milliseconds leader_contact_life{450};
 // Silence of a voter before an even number of voters is made odd. Longer than a restart takes.
@@ -89,7 +96,10 @@
     std::map<std::uint64_t, operator_call> operator_calls; ///< by request number
     std::uint64_t last_request{0};
     bool flush_posted{false};
-    bool push_due{false}; ///< the list of processes changed
+    bool push_due{false}; ///< subscribers have news that must not wait for their next beat
+    time_point push_at{}; ///< not before
+    bool list_due{false}; ///< another registrar told of processes
+    time_point list_at{}; ///< the list is refreshed by then
     std::uint64_t pushed_version{0};
     bool stopping{false};
 };
@@ -158,23 +168,34 @@
 }
 
 publisher_context context_of(registrar_daemon const& daemon) {
-    return {&daemon.directory, daemon.services.current.version, is_confirmed(daemon)};
+    return {&daemon.directory, daemon.services.current.version, is_confirmed(daemon),
+            daemon_now(daemon)};
 }
 
-// Tells every subscriber what it does not know. Called at once for what must not wait; other
-// changes of one moment share a push.
+// Tells every subscriber what it does not know. Changes of one moment share a push, and pushes
+// take a bounded part of the processor, so that the replica and the operator are served meanwhile.
 void push_updates(registrar_daemon& daemon) {
+    auto const begun = daemon_now(daemon);
+    if (begun < daemon.push_at) {
+        daemon.push_due = true; // the next tick does it
+        return;
+    }
     daemon.push_due = false;
     auto const context = context_of(daemon);
     for (auto const& [address, state] : daemon.publisher.subscribers) {
         auto const update = update_for(daemon.publisher, address, context);
+        bool const is_agent = state.entry.role == daemon_role::rank_agent;
         bool const new_version = context.config_version > daemon.pushed_version &&
                                  state.entry.role == daemon_role::gateway;
-        if (has_news(update) || new_version) {
+        // An agent's list of processes may wait for its next beat.
+        bool const news = is_agent ? !update.targets.empty() : has_news(update);
+        if (news || new_version) {
             daemon.link->send(address, update_type, serialize(update));
         }
     }
     daemon.pushed_version = context.config_version;
+    auto const end = daemon_now(daemon);
+    daemon.push_at = end + std::max<duration>(least_push_pause, push_pauses * (end - begun));
 }
 
 void answer_operator(registrar_daemon& daemon, control_node_reply const& reply) {
@@ -519,6 +540,8 @@
 void on_update(registrar_daemon& daemon, std::string const& from, directory_update const& update) {
     auto const at = daemon_now(daemon);
     take_update(daemon.subscriber, from, update, at);
+    daemon.list_due = daemon.list_due || update.all_daemons || !update.daemons.empty() ||
+                      !update.gone_daemons.empty();
     bool urgent = false;
     for (auto const& said : update.targets) {
         urgent = take_announcement(daemon.directory, said, announcement_source::peer, at) || urgent;
@@ -645,6 +668,18 @@
     }
 }
 
+void refresh_list(registrar_daemon& daemon) {
+    auto const at = daemon_now(daemon);
+    if (!daemon.list_due && at < daemon.list_at) {
+        return;
+    }
+    daemon.list_due = false;
+    daemon.list_at = at + list_period;
+    if (refresh_daemons(daemon.publisher, relayed_daemons(daemon.subscriber, at), at)) {
+        daemon.push_due = true;
+    }
+}
+
 void start_periodic_work(registrar_daemon& daemon) {
     run_every(daemon.loop, tick_period, [&daemon] {
         daemon.link->tick();
@@ -652,13 +687,16 @@
         tick_replica(daemon);
         send_beats(daemon);
         advance_departures(daemon);
-        if (drop_silent(daemon.publisher, daemon_now(daemon)) || daemon.push_due) {
+        refresh_list(daemon);
+        if (daemon.push_due) {
             push_updates(daemon);
         }
         return true;
     });
     run_every(daemon.loop, slow_period, [&daemon] {
-        forget_old(daemon.directory, {}, daemon_now(daemon));
+        directory_settings times;
+        times.forget_silent = forget_silent_target;
+        forget_old(daemon.directory, times, daemon_now(daemon));
         end_old_operator_calls(daemon);
         daemon.control->sweep();
         daemon.metrics_listener->sweep();
--- a/src/targetdirectory.cpp
+++ b/src/targetdirectory.cpp
@@ -1,5 +1,7 @@
 #include "targetdirectory.h"
 
+#include <algorithm>
+
 namespace fireflycrank {
 
 namespace {
@@ -66,8 +68,10 @@
     auto& record = directory.targets[said.id];
     record.said = said;
     record.heard_at = now;
-    if (urgent || source == announcement_source::target) {
+    if (urgent) {
         mark_changed(directory, record);
+    } else if (source == announcement_source::target) {
+        record.told_at = ++directory.last_change;
     }
     if (said.condition != target_condition::gone) {
         release_address(directory, said);
@@ -111,6 +115,17 @@
     return changed;
 }
 
+std::vector<target_announcement> announcements_after(target_directory const& directory,
+                                                     std::uint64_t known) {
+    std::vector<target_announcement> told;
+    for (auto const& [id, record] : directory.targets) {
+        if (std::max(record.changed_at, record.told_at) > known) {
+            told.push_back(record.said);
+        }
+    }
+    return told;
+}
+
 void forget_old(target_directory& directory, directory_settings const& settings, time_point now) {
     std::erase_if(directory.targets, [&](auto const& entry) {
         auto const& record = entry.second;
--- a/src/targetdirectory.h
+++ b/src/targetdirectory.h
@@ -37,7 +37,8 @@
 struct target_record {
     target_announcement said;
     time_point heard_at{};       ///< when the newest announcement arrived here
-    std::uint64_t changed_at{0}; ///< number of the last change that subscribers must learn
+    std::uint64_t changed_at{0}; ///< number of the last change that decides where work may go
+    std::uint64_t told_at{0}; ///< number of the last announcement that came from the target itself
 };
 
 /// All targets by id. Departed incarnations are kept for a while, so that a late announcement does
@@ -81,13 +82,20 @@
 target_announcement take_departure(target_directory& directory, std::string const& id,
                                    wall_time born, wall_time wall, time_point now);
 
-/// The announcements that changed after a given change.
+/// The announcements that changed after a given change, as far as that decides where work may go.
 /// @param directory the targets
 /// @param known the newest change that the reader has
 /// @return the announcements
 std::vector<target_announcement> changes_after(target_directory const& directory,
                                                std::uint64_t known);
 
+/// The same with all announcements that came from the targets themselves, for another registrar.
+/// @param directory the targets
+/// @param known the newest change that the reader has
+/// @return the announcements
+std::vector<target_announcement> announcements_after(target_directory const& directory,
+                                                     std::uint64_t known);
+
 /// Drops what is too old to matter.
 /// @param directory the targets
 /// @param settings the times
