Keep the messages of an expert group within its link; tell a group's processes of each other for sure

An answer to a beat from before an agent had its group counted as known, so 11 of 63 ranks never found their coordinator once beats were fewer.

Change: groupbudget derives periods, resends and relays from ranks, numbers and link; counts are packed in about three bits each with random rounding; a map is packed once and handed on by ranks; a status without news is sent every 200 ms only; copies of a change follow from the time of one; a plan updates the power sum of its loads instead of computing it anew for each move. Updates name the group they were chosen for, and entries carry an edition.

--- a/src/directorysync.cpp
+++ b/src/directorysync.cpp
@@ -50,15 +50,15 @@
     return beats;
 }
 
-void take_update(directory_subscriber& subscriber, std::string const& from,
-                 directory_update const& update, time_point now) {
-    auto& contact = subscriber.registrars[from];
-    if (contact.run != update.registrar_run) {
-        contact.change = 0;
-        contact.daemons_revision = 0;
+namespace {
+
+// An answer to a beat from before the subscriber had its group lacks the group's processes, and
+// must not count as known.
+void take_daemons(directory_subscriber const& subscriber, registrar_contact& contact,
+                  directory_update const& update) {
+    if (update.group != subscriber.self.group) {
+        return;
     }
-    contact.run = update.registrar_run;
-    contact.change = std::max(contact.change, update.change);
     if (update.all_daemons) {
         contact.daemons.clear();
     }
@@ -69,6 +69,20 @@
         contact.daemons.erase(address);
     }
     contact.daemons_revision = std::max(contact.daemons_revision, update.daemons_revision);
+}
+
+} // namespace
+
+void take_update(directory_subscriber& subscriber, std::string const& from,
+                 directory_update const& update, time_point now) {
+    auto& contact = subscriber.registrars[from];
+    if (contact.run != update.registrar_run) {
+        contact.change = 0;
+        contact.daemons_revision = 0;
+    }
+    contact.run = update.registrar_run;
+    contact.change = std::max(contact.change, update.change);
+    take_daemons(subscriber, contact, update);
     if (update.config_version > contact.config_version) {
         contact.config_at = now;
     }
@@ -133,6 +147,9 @@
     if (left.started != right.started) {
         return left.started > right.started ? left : right;
     }
+    if (left.edition != right.edition) {
+        return left.edition > right.edition ? left : right;
+    }
     auto view = right;
     view.ready = left.ready && right.ready;
     return view;
@@ -313,6 +330,7 @@
     bool const known = found != publisher.subscribers.end();
     directory_publisher::subscriber_state const fresh;
     auto const& state = known ? found->second : fresh;
+    update.group = state.entry.group;
     add_targets(*context.targets, state.entry, state.known_change, update);
     add_daemons(publisher, state.entry, state.known_daemons, update);
     add_unheard(*context.targets, state.entry, publisher.settings, context.now, update);
--- a/src/directorysync.h
+++ b/src/directorysync.h
@@ -31,6 +31,7 @@
     std::uint64_t started{0};   ///< rises with every start of the process
     std::string group;          ///< rank agents: the group of its target
     unsigned rank{0};           ///< rank agents: the target's rank in it
+    std::uint64_t edition{0};   ///< rises with every change of the above within a run
     bool operator==(daemon_entry const&) const = default;
 };
 
@@ -60,6 +61,7 @@
     std::uint64_t change{0};
     std::vector<target_announcement> targets;
     std::uint64_t daemons_revision{0};
+    std::string group;       ///< of the subscriber, by which `daemons` were chosen
     bool all_daemons{false}; ///< `daemons` holds every process that concerns the subscriber
     std::vector<daemon_entry> daemons; ///< otherwise those that changed
     std::vector<std::string> gone_daemons;
--- a/src/directorywire.cpp
+++ b/src/directorywire.cpp
@@ -1,5 +1,6 @@
 #include "directorywire.h"
 
+#include "countcode.h"
 #include "directory.pb.h"
 
 #include <limits>
@@ -58,6 +59,7 @@
     wired.set_started(plain.started);
     wired.set_group(plain.group);
     wired.set_rank(plain.rank);
+    wired.set_edition(plain.edition);
 }
 
 daemon_entry plain_of(wire::DaemonEntry const& wired) {
@@ -71,6 +73,7 @@
     plain.started = wired.started();
     plain.group = wired.group();
     plain.rank = wired.rank();
+    plain.edition = wired.edition();
     return plain;
 }
 
@@ -121,6 +124,7 @@
         fill(*wired.add_targets(), one);
     }
     wired.set_daemons_revision(plain.daemons_revision);
+    wired.set_group(plain.group);
     wired.set_all_daemons(plain.all_daemons);
     for (auto const& address : plain.gone_daemons) {
         wired.add_gone_daemons(address);
@@ -152,6 +156,7 @@
         plain.targets.push_back(plain_of(one));
     }
     plain.daemons_revision = wired.daemons_revision();
+    plain.group = wired.group();
     plain.all_daemons = wired.all_daemons();
     plain.gone_daemons.assign(wired.gone_daemons().begin(), wired.gone_daemons().end());
     for (auto const& one : wired.daemons()) {
@@ -296,7 +301,7 @@
     }
     wired.set_highest_version(plain.highest_version);
     wired.set_sets(plain.sets);
-    wired.mutable_counts()->Add(plain.counts.begin(), plain.counts.end());
+    wired.set_packed_counts(pack_counts(plain.counts, plain.pass << 16U | plain.rank));
     if (plain.in_use) {
         fill(*wired.mutable_in_use(), *plain.in_use);
     }
@@ -323,7 +328,8 @@
     }
     plain.highest_version = wired.highest_version();
     plain.sets = wired.sets();
-    plain.counts.assign(wired.counts().begin(), wired.counts().end());
+    BOOST_OUTCOME_TRY(counts, unpack_counts(wired.packed_counts()));
+    plain.counts = std::move(counts);
     if (wired.has_in_use()) {
         plain.in_use = plain_of(wired.in_use());
     }
@@ -339,8 +345,11 @@
     wired.set_operation(static_cast<std::uint32_t>(plain.operation));
     wired.set_version(plain.version);
     wired.set_pass(plain.pass);
-    for (auto const& rank : plain.map) {
-        fill(*wired.add_map(), rank);
+    wired.set_packed_map(plain.packed_map);
+    for (auto const& [rank, agent] : plain.hand_on) {
+        auto& next = *wired.add_hand_on();
+        next.set_rank(rank);
+        next.set_agent(agent);
     }
     return wired.SerializeAsString();
 }
@@ -355,8 +364,9 @@
     plain.operation = is_arm ? rank_operation::arm : rank_operation::prepare;
     plain.version = wired.version();
     plain.pass = wired.pass();
-    for (auto const& rank : wired.map()) {
-        plain.map.push_back(plain_of(rank));
+    plain.packed_map = wired.packed_map();
+    for (auto const& next : wired.hand_on()) {
+        plain.hand_on.push_back({next.rank(), next.agent()});
     }
     return plain;
 }
--- a/src/expertplace.cpp
+++ b/src/expertplace.cpp
@@ -16,39 +16,49 @@
 
 // One set of a group: which ranks hold which experts, and the load that follows.
 struct set_state {
-    std::vector<double> demand;               ///< by expert; sums to 1
-    std::vector<std::vector<unsigned>> holds; ///< experts by rank
-    std::vector<unsigned> copies;             ///< by expert
-    std::vector<double> load;                 ///< by rank
-    std::vector<unsigned> added;              ///< experts added by rank
+    std::vector<double> demand;                 ///< by expert; sums to 1
+    std::vector<std::vector<unsigned>> holds;   ///< experts by rank
+    std::vector<std::vector<unsigned>> holders; ///< ranks by expert
+    std::vector<double> load;                   ///< by rank
+    double power_sum{0};                        ///< of `load`, see norm()
+    std::vector<unsigned> added;                ///< experts added by rank
 };
 
 bool holds(set_state const& set, unsigned rank, unsigned expert) {
-    auto const& held = set.holds[rank];
-    return std::find(held.begin(), held.end(), expert) != held.end();
+    auto const& ranks = set.holders[expert];
+    return std::find(ranks.begin(), ranks.end(), rank) != ranks.end();
 }
 
 double share(set_state const& set, unsigned expert, unsigned copies) {
     return copies == 0 ? 0.0 : set.demand[expert] / copies;
 }
 
+unsigned copies_of(set_state const& set, unsigned expert) {
+    return static_cast<unsigned>(set.holders[expert].size());
+}
+
+double power_of(double load) {
+    double const square = load * load;
+    double const fourth = square * square;
+    return fourth * fourth;
+}
+
 void recompute_loads(set_state& set) {
     std::fill(set.load.begin(), set.load.end(), 0.0);
-    for (std::size_t rank = 0; rank < set.holds.size(); ++rank) {
-        for (auto const expert : set.holds[rank]) {
-            set.load[rank] += share(set, expert, set.copies[expert]);
+    for (unsigned expert = 0; expert < set.holders.size(); ++expert) {
+        double const part = share(set, expert, copies_of(set, expert));
+        for (auto const rank : set.holders[expert]) {
+            set.load[rank] += part;
         }
     }
+    set.power_sum = 0;
+    for (double const one : set.load) {
+        set.power_sum += power_of(one);
+    }
 }
 
-double norm(std::vector<double> const& load) {
-    double sum = 0;
-    for (double const one : load) {
-        double const square = one * one;
-        double const fourth = square * square;
-        sum += fourth * fourth;
-    }
-    return std::pow(sum, 1.0 / norm_power);
+double norm(double power_sum) {
+    return std::pow(std::max(power_sum, 0.0), 1.0 / norm_power);
 }
 
 // A change of one set: `expert` goes to `to`; there it may replace `evicted`, and it may leave
@@ -58,35 +68,55 @@
     unsigned to{0};
     std::optional<unsigned> evicted;
     std::optional<unsigned> from;
-    double norm_after{0};
+    double power_after{0}; ///< power sum of the loads afterwards
 };
 
-// Adds the load change of giving `expert` another number of copies, except on `to` and `from`.
-void spread_change(set_state const& set, std::vector<double>& load, unsigned expert,
-                   unsigned copies_before, unsigned copies_after) {
-    double const change = share(set, expert, copies_after) - share(set, expert, copies_before);
-    for (std::size_t rank = 0; rank < set.holds.size(); ++rank) {
-        if (holds(set, static_cast<unsigned>(rank), expert)) {
-            load[rank] += change;
+// Loads of a few ranks that a move changes, and the power sum that follows.
+class load_changes {
+public:
+    explicit load_changes(set_state const& set) : set_{&set}, power_sum_{set.power_sum} {}
+
+    void add(unsigned rank, double change) {
+        auto found = std::find_if(changed_.begin(), changed_.end(),
+                                  [&](auto const& one) { return one.first == rank; });
+        if (found == changed_.end()) {
+            found = changed_.insert(found, {rank, set_->load[rank]});
         }
+        power_sum_ += power_of(found->second + change) - power_of(found->second);
+        found->second += change;
     }
-}
 
-double norm_after(set_state const& set, place_move const& move) {
-    auto load = set.load;
-    auto const before = set.copies[move.expert];
+    // The change of giving an expert another number of copies, on the ranks that hold it now.
+    void spread(unsigned expert, unsigned before, unsigned after) {
+        double const change = share(*set_, expert, after) - share(*set_, expert, before);
+        for (auto const rank : set_->holders[expert]) {
+            add(rank, change);
+        }
+    }
+
+    double power_sum() const { return power_sum_; }
+
+private:
+    set_state const* set_;
+    double power_sum_;
+    std::vector<std::pair<unsigned, double>> changed_; ///< rank and its new load
+};
+
+double power_after(set_state const& set, place_move const& move) {
+    load_changes changes{set};
+    auto const before = copies_of(set, move.expert);
     auto const after = before + 1 - (move.from ? 1 : 0);
-    spread_change(set, load, move.expert, before, after);
-    load[move.to] += share(set, move.expert, after);
+    changes.spread(move.expert, before, after);
+    changes.add(move.to, share(set, move.expert, after));
     if (move.from) {
-        load[*move.from] -= share(set, move.expert, after);
+        changes.add(*move.from, -share(set, move.expert, after));
     }
     if (move.evicted) {
-        auto const copies = set.copies[*move.evicted];
-        spread_change(set, load, *move.evicted, copies, copies - 1);
-        load[move.to] -= share(set, *move.evicted, copies - 1);
+        auto const copies = copies_of(set, *move.evicted);
+        changes.spread(*move.evicted, copies, copies - 1);
+        changes.add(move.to, -share(set, *move.evicted, copies - 1));
     }
-    return norm(load);
+    return changes.power_sum();
 }
 
 // The replica on a rank that is missed least: it must have another copy.
@@ -94,10 +124,10 @@
     std::optional<unsigned> least;
     double least_share = 0;
     for (auto const expert : set.holds[rank]) {
-        if (expert == kept || set.copies[expert] < 2) {
+        if (expert == kept || copies_of(set, expert) < 2) {
             continue;
         }
-        double const spread = set.demand[expert] / (set.copies[expert] - 1);
+        double const spread = set.demand[expert] / (copies_of(set, expert) - 1);
         if (!least || spread < least_share) {
             least = expert;
             least_share = spread;
@@ -115,7 +145,8 @@
                                     std::vector<unsigned> const& rank_copies) {
     auto const hot = hottest_rank(set);
     std::optional<place_move> best;
-    double const present = norm(set.load);
+    // Compared as powers, so that no root is taken for each move.
+    double const enough = set.power_sum * std::pow(1.0 - least_gain, norm_power);
     for (auto const expert : set.holds[hot]) {
         for (unsigned to = 0; to < set.holds.size(); ++to) {
             bool const room_to_add =
@@ -133,9 +164,8 @@
             }
             for (bool const leave : {false, true}) {
                 move.from = leave ? std::optional{hot} : std::nullopt;
-                move.norm_after = norm_after(set, move);
-                if (move.norm_after < present * (1.0 - least_gain) &&
-                    (!best || move.norm_after < best->norm_after)) {
+                move.power_after = power_after(set, move);
+                if (move.power_after < enough && (!best || move.power_after < best->power_after)) {
                     best = move;
                 }
             }
@@ -148,14 +178,14 @@
     auto& to = set.holds[move.to];
     if (move.evicted) {
         std::erase(to, *move.evicted);
-        --set.copies[*move.evicted];
+        std::erase(set.holders[*move.evicted], move.to);
     }
     to.push_back(move.expert);
-    ++set.copies[move.expert];
+    set.holders[move.expert].push_back(move.to);
     ++set.added[move.to];
     if (move.from) {
         std::erase(set.holds[*move.from], move.expert);
-        --set.copies[move.expert];
+        std::erase(set.holders[move.expert], *move.from);
     }
     recompute_loads(set);
 }
@@ -170,11 +200,11 @@
     for (double& one : state.demand) {
         one = total > 0 ? one / total : 0.0;
     }
-    state.copies.assign(demand.size(), 0);
-    for (auto const& rank : map) {
-        state.holds.push_back(rank[set]);
-        for (auto const expert : rank[set]) {
-            ++state.copies[expert];
+    state.holders.resize(demand.size());
+    for (unsigned rank = 0; rank < map.size(); ++rank) {
+        state.holds.push_back(map[rank][set]);
+        for (auto const expert : map[rank][set]) {
+            state.holders[expert].push_back(rank);
         }
     }
     state.load.assign(map.size(), 0.0);
@@ -232,7 +262,8 @@
             if (next[at] && rank_copies[next[at]->to] >= limits.copies_a_rank) {
                 next[at] = best_move(sets[at], limits, rank_copies);
             }
-            double const gain = next[at] ? norm(sets[at].load) - next[at]->norm_after : 0.0;
+            double const gain =
+                next[at] ? norm(sets[at].power_sum) - norm(next[at]->power_after) : 0.0;
             if (gain > most) {
                 most = gain;
                 chosen = at;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -61,6 +61,7 @@
         return;
     }
     owner.subscriber.self.ready = ready;
+    ++owner.subscriber.self.edition;
     log_bounded(owner.loop, events::gateway_readiness,
                 {{"ready", ready},
                  {"stopping", owner.stopping},
--- /dev/null
+++ b/src/groupbudget.h
@@ -0,0 +1,49 @@
+/// @file
+/// What the messages of an expert group may cost. All ranks send their counts to one coordinator
+/// whose VM's link also carries the orders to its engine, so periods and sizes follow from the
+/// number of ranks, the numbers that each counts, the link and the time to copy an expert. Pure.
+#pragma once
+
+#include "clock.h"
+#include "serviceconfig.h"
+
+#include <cstddef>
+
+namespace fireflycrank {
+
+/// A group as its messages see it.
+struct group_shape {
+    unsigned ranks{1};
+    std::size_t numbers{0};             ///< counts of one rank: experts of all sets
+    double link_megabits_per_second{0}; ///< of a rank's VM; 0: unknown, taken as fast
+};
+
+/// The messages of a group.
+struct group_budget {
+    duration counts_period{};  ///< between the counts of one rank
+    duration status_period{};  ///< longest time between statuses that say nothing new
+    duration status_life{};    ///< a status must be this fresh for a change to begin
+    duration prepare_resend{}; ///< to ranks that have not prepared
+    duration arm_resend{};     ///< to ranks that are not armed
+    duration plan_pause{};     ///< between a change and the next plan
+    unsigned hand_on{0};       ///< instructions to prepare that one rank hands on; 0: none
+};
+
+/// Derives the messages of a group.
+/// @param shape the group
+/// @param at_ease passes are short, so that imbalance delays nobody
+/// @return the budget
+group_budget budget_for(group_shape const& shape, bool at_ease);
+
+/// Copies that one change may bring to each rank.
+struct copy_limits {
+    unsigned few{2};
+    unsigned many{3}; ///< for great imbalance, which is worth a longer wait
+};
+
+/// Derives the copies of a change from the time that one takes.
+/// @param traits of the engines
+/// @return the limits
+copy_limits copies_for(engine_traits const& traits);
+
+} // namespace fireflycrank
--- a/src/groupswitch.cpp
+++ b/src/groupswitch.cpp
@@ -42,10 +42,15 @@
 
 void instruct(group_coordinator const& coordinator, unsigned rank, rank_operation operation,
               group_actions& actions) {
-    rank_instruction made{coordinator.group,   coordinator.epoch, rank, operation,
-                          coordinator.version, coordinator.pass,  {}};
+    rank_instruction made;
+    made.group = coordinator.group;
+    made.epoch = coordinator.epoch;
+    made.rank = rank;
+    made.operation = operation;
+    made.version = coordinator.version;
+    made.pass = coordinator.pass;
     if (operation == rank_operation::prepare) {
-        made.map = coordinator.map;
+        made.packed_map = coordinator.packed_map;
     }
     actions.instructions.push_back(std::move(made));
 }
@@ -71,10 +76,23 @@
         return;
     }
     coordinator.resend_at = now + coordinator.settings.prepare_resend;
+    // Whoever should hand on may be down, so the next time each rank is told directly.
+    auto const hand_on = coordinator.handed_out ? 0U : coordinator.settings.hand_on;
+    coordinator.handed_out = true;
+    unsigned handed = hand_on;
     for (auto const& [rank, known] : coordinator.ranks) {
-        if (known.status.prepared_version != coordinator.version) {
-            instruct(coordinator, rank, rank_operation::prepare, actions);
+        if (known.status.prepared_version == coordinator.version) {
+            continue;
         }
+        // Rank 0 is the coordinator's own; its link is the one to spare.
+        bool const passed_on = rank != 0 && handed < hand_on;
+        if (passed_on) {
+            actions.instructions.back().hand_on.push_back({rank, known.agent});
+            ++handed;
+            continue;
+        }
+        instruct(coordinator, rank, rank_operation::prepare, actions);
+        handed = rank == 0 ? hand_on : 0;
     }
 }
 
@@ -188,15 +206,16 @@
     });
 }
 
-void begin_switch(group_coordinator& coordinator, group_experts map, std::uint64_t least_version,
-                  time_point now) {
+void begin_switch(group_coordinator& coordinator, std::string packed_map,
+                  std::uint64_t least_version, time_point now) {
     std::uint64_t highest = coordinator.version;
     for (auto const& [rank, known] : coordinator.ranks) {
         highest = std::max({highest, known.status.highest_version, known.status.map_version,
                             known.status.prepared_version});
     }
     coordinator.version = std::max(highest + 1, least_version);
-    coordinator.map = std::move(map);
+    coordinator.packed_map = std::move(packed_map);
+    coordinator.handed_out = false;
     enter(coordinator, switch_stage::preparing, now);
 }
 
--- a/src/groupswitch.h
+++ b/src/groupswitch.h
@@ -43,6 +43,12 @@
 
 enum class rank_operation : std::uint8_t { prepare = 1, arm = 2 };
 
+/// A rank to which an instruction is passed on.
+struct next_rank {
+    unsigned rank{0};
+    std::string agent; ///< peer address
+};
+
 /// What the coordinator tells a rank's agent to order.
 struct rank_instruction {
     std::string group;
@@ -50,8 +56,11 @@
     unsigned rank{0};
     rank_operation operation{rank_operation::prepare};
     std::uint64_t version{0};
-    std::uint64_t pass{0}; ///< arm
-    group_experts map;     ///< prepare
+    std::uint64_t pass{0};  ///< arm
+    std::string packed_map; ///< prepare; see countcode.h
+    /// The receiver passes the instruction on to these, so that a map for many ranks does not cross
+    /// the coordinator's link once for each.
+    std::vector<next_rank> hand_on;
 };
 
 /// A coordinator's request that another process orders its engine to hold a pass.
@@ -81,6 +90,8 @@
     duration prepare_limit{std::chrono::seconds{6}};
     /// Statuses must be this fresh before a hold: an agent that is down would stop the group.
     duration status_life{std::chrono::milliseconds{600}};
+    /// Instructions to prepare that one rank hands on; 0: the coordinator sends all itself.
+    unsigned hand_on{0};
     /// Passes between the newest report and the held one. The report may be a pass old, and a pass
     /// takes about as long as hold, arm and release together when no order is lost.
     std::uint64_t lead_passes{3};
@@ -103,9 +114,10 @@
     std::map<unsigned, known_rank> ranks;
     switch_stage stage{switch_stage::idle};
     std::uint64_t version{0};
-    group_experts map;
-    std::uint64_t pass{0}; ///< held and armed
-    time_point since{};    ///< begin of the stage
+    std::string packed_map;
+    bool handed_out{false}; ///< the map was sent to every rank once
+    std::uint64_t pass{0};  ///< held and armed
+    time_point since{};     ///< begin of the stage
     time_point resend_at{};
     time_point own_resend_at{};
     std::uint64_t completed{0};
@@ -137,12 +149,12 @@
 
 /// Begins a change.
 /// @param coordinator the state
-/// @param map the map to change to
+/// @param packed_map the map to change to, see countcode.h
 /// @param least_version the wall time in milliseconds: an order of a former run may be carried out
 ///        seconds late, and must then find a higher version
 /// @param now the time
-void begin_switch(group_coordinator& coordinator, group_experts map, std::uint64_t least_version,
-                  time_point now);
+void begin_switch(group_coordinator& coordinator, std::string packed_map,
+                  std::uint64_t least_version, time_point now);
 
 /// Decides what to do; called after each status and at a short period.
 /// @param coordinator the state
--- a/src/rankagent.cpp
+++ b/src/rankagent.cpp
@@ -15,10 +15,7 @@
 
 constexpr std::chrono::milliseconds tick_period{50};
 constexpr std::chrono::milliseconds report_period{200};
-constexpr std::chrono::milliseconds counts_period{150};
-// In groups of more ranks each rank sends its counts less often while passes are short, so that the
-// coordinator's link and processor carry the same.
-constexpr unsigned counted_ranks = 8;
+constexpr std::chrono::milliseconds counts_tick{50};
 constexpr std::chrono::milliseconds sync_period{100};
 constexpr std::chrono::milliseconds slow_period{1'000};
 // The engine is on the same VM and answers reports at once.
@@ -103,6 +100,7 @@
         self.group = name;
         self.rank = rank;
         self.target_id = id;
+        ++self.edition;
         forget_daemons(agent.subscriber);
         for (auto const& beat : due_beats(agent.subscriber, true, loop_now(agent.loop))) {
             agent.link->send(beat.to, beat_type, serialize(beat.message));
@@ -242,13 +240,9 @@
         complete_stalled_switch(agent);
         return true;
     });
-    run_every(agent.loop, counts_period, [&agent] {
+    run_every(agent.loop, counts_tick, [&agent] {
         auto const at = loop_now(agent.loop);
-        auto const size = agent.report && agent.report->group ? agent.report->group->size : 1U;
-        // While passes are long, a plan from old counts costs callers more than the messages do.
-        auto const ranks = agent.pass_time < easy_pass ? std::max(size, counted_ranks) : 1U;
-        auto const periods = std::max(1U, ranks / counted_ranks);
-        if (at - agent.counted_at >= counts_period * periods - tick_period) {
+        if (at - agent.counted_at >= group_budget_of(agent).counts_period) {
             agent.counted_at = at;
             read_counts(agent);
         }
@@ -286,6 +280,14 @@
     self.started = static_cast<std::uint64_t>(wall_now(loop.clock).time_since_epoch().count());
 }
 
+group_budget group_budget_of(rank_agent const& agent) {
+    auto const size = agent.report && agent.report->group ? agent.report->group->size : 1U;
+    auto const numbers = agent.counted ? agent.counted->counts.size() : 0U;
+    // While passes are long, a plan from old counts costs callers more than the messages do.
+    return budget_for({size, numbers, agent.settings.link_megabits_per_second},
+                      agent.pass_time < easy_pass);
+}
+
 void read_report(rank_agent& agent) {
     if (agent.reading) {
         agent.read_again = true;
--- a/src/rankagent.h
+++ b/src/rankagent.h
@@ -9,6 +9,7 @@
 #include "enginereport.h"
 #include "eventloop.h"
 #include "expertplace.h"
+#include "groupbudget.h"
 #include "groupswitch.h"
 #include "peerlink.h"
 #include "rng.h"
@@ -62,6 +63,8 @@
     // The rank's part.
     std::optional<expert_counts> counted; ///< newest counts of the engine
     std::vector<std::uint64_t> unsent;    ///< choices that no status carried yet
+    std::optional<rank_status> told;      ///< the last status sent, without counts and experts
+    time_point told_at{};
     unsigned sets{0};
     std::optional<rank_experts> experts; ///< of the map in use
     std::uint64_t experts_version{0};
@@ -97,6 +100,11 @@
 /// @return nothing, or why it could not start
 result<void> run_rank_agent(settings_source const& read_settings, std::string const& settings_path);
 
+/// What the messages of the agent's group may cost now.
+/// @param agent the agent
+/// @return the budget
+group_budget group_budget_of(rank_agent const& agent);
+
 /// Reads the engine's report now; gateways and coordinator hear of it.
 /// @param agent the agent
 void read_report(rank_agent& agent);
--- a/src/rankswitch.cpp
+++ b/src/rankswitch.cpp
@@ -1,3 +1,4 @@
+#include "countcode.h"
 #include "directorywire.h"
 #include "engineclient.h"
 #include "platform/enginecalls.h"
@@ -23,18 +24,12 @@
 // A change is seen about 0.15 s after it began. The fresh window then holds 58 parts in 100 of the
 // new demand and the steady one 16: what they differ by is as much as is still missing.
 constexpr double carried_on = 1.0;
-// Pause between the end of one change and the next plan.
-constexpr std::chrono::milliseconds plan_pause{100};
 // A change must lower the most loaded rank by this part of the mean; copies are priced.
 constexpr double least_gain = 0.10;
 // While passes are short, imbalance delays nobody.
 constexpr double least_gain_at_ease = 0.25;
 constexpr std::chrono::milliseconds pass_sample{150};
 constexpr double pass_weight = 0.5; // of the newest sample
-// Copies of one change on one rank; each takes a link time of about 150 ms, and the whole change
-// waits for the last. Great imbalance is worth a longer wait.
-constexpr unsigned few_copies = 2;
-constexpr unsigned many_copies = 3;
 constexpr double great_skew = 2.2;
 constexpr unsigned ok_status = 200;
 constexpr unsigned accepted_status = 202;
@@ -119,6 +114,21 @@
     return status;
 }
 
+// Whether the coordinator would decide otherwise after this status. Only its own rank's pass
+// counts.
+bool says_more(rank_status const& fresh, rank_status const& told) {
+    auto const same_armed = [&] {
+        return fresh.armed.has_value() == told.armed.has_value() &&
+               (!fresh.armed || (fresh.armed->version == told.armed->version &&
+                                 fresh.armed->pass == told.armed->pass));
+    };
+    return !fresh.counts.empty() || fresh.group != told.group || fresh.epoch != told.epoch ||
+           fresh.rank != told.rank || fresh.open != told.open ||
+           fresh.map_version != told.map_version ||
+           fresh.prepared_version != told.prepared_version || !same_armed() ||
+           fresh.held_pass != told.held_pass || fresh.in_use.has_value() != told.in_use.has_value();
+}
+
 void add_counts(rank_agent& agent, expert_counts const& fresh) {
     bool const goes_on = agent.counted && agent.counted->counts.size() == fresh.counts.size() &&
                          agent.counted->epoch == fresh.epoch;
@@ -265,7 +275,7 @@
         !has_demand(agent.steady_demand)) {
         return;
     }
-    agent.plan_at = at + plan_pause;
+    agent.plan_at = at + group_budget_of(agent).plan_pause;
     auto const present = present_map(coordinator);
     if (!is_whole(present, agent.steady_demand.demand)) {
         return;
@@ -274,7 +284,8 @@
     auto const& steady = agent.steady_demand.demand;
     auto const demand =
         sudden ? extrapolate_demand(agent.fresh_demand.demand, steady, carried_on) : steady;
-    auto const copies = place_skew(present, demand) > great_skew ? many_copies : few_copies;
+    auto const limits = copies_for(*agent.traits);
+    auto const copies = place_skew(present, demand) > great_skew ? limits.many : limits.few;
     auto const planned =
         plan_places(present, demand, {agent.traits->places, agent.traits->spare, copies});
     double const needed = agent.pass_time < easy_pass ? least_gain_at_ease : least_gain;
@@ -291,7 +302,7 @@
                  {"copies", planned.copies},
                  {"pass_ms", in_millis(agent.pass_time)}});
     auto const wall = wall_now(agent.loop.clock).time_since_epoch();
-    begin_switch(coordinator, planned.map, static_cast<std::uint64_t>(wall.count()), at);
+    begin_switch(coordinator, pack_map(planned.map), static_cast<std::uint64_t>(wall.count()), at);
 }
 
 // A registrar that answered lately; another one each time.
@@ -437,6 +448,12 @@
         agent.coordinator.emplace();
         agent.coordinator->group = name;
     }
+    auto const budget = group_budget_of(agent);
+    auto& settings = agent.coordinator->settings;
+    settings.prepare_resend = budget.prepare_resend;
+    settings.arm_resend = budget.arm_resend;
+    settings.status_life = budget.status_life;
+    settings.hand_on = budget.hand_on;
 }
 
 } // namespace
@@ -471,12 +488,20 @@
     if (to.empty()) {
         return;
     }
-    auto const status = make_status(agent);
+    auto const at = loop_now(agent.loop);
+    auto status = make_status(agent);
     if (to == agent.subscriber.self.address) {
         on_rank_status(agent, status, to);
-    } else {
-        agent.link->send(to, rank_status_type, serialize(status));
+        return;
     }
+    bool const due = at - agent.told_at >= group_budget_of(agent).status_period;
+    if (!due && agent.told && !says_more(status, *agent.told)) {
+        return;
+    }
+    agent.link->send(to, rank_status_type, serialize(status));
+    agent.told_at = at;
+    status.counts.clear();
+    agent.told = std::move(status);
 }
 
 void on_rank_status(rank_agent& agent, rank_status const& status, std::string const& from) {
@@ -493,6 +518,12 @@
 }
 
 void on_instruction(rank_agent& agent, rank_instruction const& instruction) {
+    auto passed_on = instruction;
+    passed_on.hand_on.clear();
+    for (auto const& [rank, address] : instruction.hand_on) {
+        passed_on.rank = rank;
+        agent.link->send(address, rank_instruction_type, serialize(passed_on));
+    }
     bool const mine = agent.report && agent.report->group &&
                       instruction.group == group_name(agent) &&
                       instruction.epoch == agent.report->group->epoch &&
@@ -508,7 +539,13 @@
     order.pass = instruction.pass;
     bool const prepares = instruction.operation == rank_operation::prepare;
     order.kind = prepares ? platform::rank_order_kind::prepare : platform::rank_order_kind::arm;
-    order.map = instruction.map;
+    auto map = unpack_map(instruction.packed_map);
+    if (!map) {
+        log_bounded(agent.loop, events::message_malformed,
+                    {{"type", rank_instruction_type}, {"error", describe(map.error())}});
+        return;
+    }
+    order.map = std::move(map).value();
     order_own(agent, order, prepares ? "prepare" : "arm", {});
 }
 
--- a/src/vmsettings.h
+++ b/src/vmsettings.h
@@ -47,6 +47,7 @@
     std::string data_folder;        ///< empty without a disk
     std::string target_address;     ///< rank agents: the target on the same VM
     std::string target_service;
+    double link_megabits_per_second{0}; ///< of this VM; 0: unknown
     vm_bounds bounds;
 };
 
--- a/tests/gateway_directory_test.cpp
+++ b/tests/gateway_directory_test.cpp
@@ -190,6 +190,52 @@
     CHECK_FALSE(listed_daemons(subscriber, daemon_role::gateway, at_ms(3'100)).at("g:2").ready);
 }
 
+// A rank whose beat was lost after it learnt its group never heard of the group's coordinator.
+TEST_CASE("an answer from before a process had its group does not hide the group from it") {
+    directory_publisher publisher;
+    publisher.address = "r:1";
+    publisher.run = 1;
+    target_directory targets;
+    daemon_entry const first{"a:0", daemon_role::rank_agent, "z", "e:0", false, "t0", 1, "x", 0};
+    take_beat(publisher, {first, 0, 0, 0, {}}, at_ms(0));
+    directory_subscriber subscriber;
+    subscriber.self = {"a:1", daemon_role::rank_agent, "z", "e:1", false, "t1", 1, "", 0};
+    configure_registrars(subscriber, {"r:1"}, at_ms(0));
+    auto const early = due_beats(subscriber, true, at_ms(0));
+    REQUIRE(early.size() == 1);
+    take_beat(publisher, early[0].message, at_ms(0));
+    auto const late_answer = update_for(publisher, "a:1", {&targets, 0, true});
+    subscriber.self.group = "x";
+    ++subscriber.self.edition;
+    forget_daemons(subscriber);
+    due_beats(subscriber, true, at_ms(10)); // lost
+    take_update(subscriber, "r:1", late_answer, at_ms(20));
+    for (auto const& beat : due_beats(subscriber, true, at_ms(1'000))) {
+        take_beat(publisher, beat.message, at_ms(1'000));
+        take_update(subscriber, "r:1", update_for(publisher, "a:1", {&targets, 0, true}),
+                    at_ms(1'000));
+    }
+    CHECK(listed_daemons(subscriber, daemon_role::rank_agent, at_ms(1'000)).contains("a:0"));
+}
+
+TEST_CASE("the newest edition of a process's entry is listed") {
+    directory_publisher publisher;
+    publisher.address = "r:1";
+    directory_beat beat;
+    beat.self = {"a:1", daemon_role::rank_agent, "z", "e:1", false, "t1", 1, "x", 3, 1};
+    take_beat(publisher, beat, at_ms(0));
+    auto old = beat.self;
+    old.group = "";
+    old.edition = 0;
+    refresh_daemons(publisher, {{"a:1", old}}, at_ms(10));
+    CHECK(publisher.listed.at("a:1").entry.group == "x");
+    auto newer = beat.self;
+    newer.group = "y";
+    newer.edition = 2;
+    refresh_daemons(publisher, {{"a:1", newer}}, at_ms(20));
+    CHECK(publisher.listed.at("a:1").entry.group == "y");
+}
+
 TEST_CASE("a configuration is fetched in the own zone, and elsewhere only after a while") {
     // Guards against every gateway fetching each large configuration across zones.
     directory_subscriber subscriber;
