--- a/src/groupbudget.cpp
+++ b/src/groupbudget.cpp
@@ -10,9 +10,9 @@
 
 // Counts take this part of the coordinator's link; orders and reports share the rest.
 constexpr double counts_share = 0.3;
-// Packed counts take about three bits each (countcode.h), a status and its frame the rest.
+// Packed counts take about three bits each (countcode.h); a status names its experts as well.
 constexpr double bytes_a_number = 0.36;
-constexpr double bytes_a_status = 200;
+constexpr double bytes_a_status = 320;
 constexpr double bits_a_byte = 8;
 constexpr milliseconds least_counts_period{150};
 constexpr milliseconds most_counts_period{1'000};
