Leave targets that send bytes without end

Chunk sizes, extensions and trailers were kept without limit, interim answers and answers to other requests skipped without limit and by nested calls, and an event without end kept whole and searched from its start for each piece (409 ms of processor time for 8 MB). Each is bounded now; the connection is closed and the target avoided for a while. A caller's own answer that grows too large also frees its place at the target. tests/gateway_endless_test.cpp fails in every case on the former decoders but for heads, which Beast limits.

--- a/src/engineclient.cpp
+++ b/src/engineclient.cpp
@@ -6,6 +6,8 @@
 
 constexpr std::chrono::milliseconds connect_limit{300};
 constexpr std::chrono::milliseconds max_idle{10'000};
+// Counts and maps of a group take some ten kilobytes.
+constexpr std::size_t max_answer_bytes = 4U << 20U;
 
 struct pending_call {
     std::shared_ptr<target_exchange> exchange;
@@ -33,6 +35,11 @@
     };
     events.on_body = [call](std::string const& body) {
         call->answer.body += body;
+        if (call->answer.body.size() > max_answer_bytes && call->exchange) {
+            call->exchange->cancel();
+            call->exchange.reset();
+            call->finish(std::nullopt);
+        }
         return true;
     };
     events.on_end = [call](exchange_end how) {
--- a/src/eventsplit.cpp
+++ b/src/eventsplit.cpp
@@ -8,6 +8,10 @@
 namespace {
 
 constexpr std::string_view event_end = "\n\n";
+// Some hundred times the largest event of a model engine.
+constexpr std::size_t max_event_bytes = 256U << 10U;
+// A stream that starts over repeats what its caller has; the largest is well below this.
+constexpr std::size_t max_repeated_bytes = 1U << 20U;
 
 std::optional<std::uint64_t> id_of(std::string_view event) {
     while (!event.empty()) {
@@ -32,18 +36,22 @@
     splitter.partial.append(bytes);
     std::string whole;
     std::size_t begin = 0;
+    std::size_t from = splitter.searched;
     for (;;) {
-        auto const end = splitter.partial.find(event_end, begin);
+        auto const end = splitter.partial.find(event_end, from);
         if (end == std::string::npos) {
             break;
         }
         auto const event =
             std::string_view{splitter.partial}.substr(begin, end + event_end.size() - begin);
         begin = end + event_end.size();
+        from = begin;
         auto const id = id_of(event);
         if (id && splitter.last_id && *id <= *splitter.last_id) {
+            splitter.repeated += event.size();
             continue;
         }
+        splitter.repeated = 0;
         if (id) {
             splitter.last_id = id;
         }
@@ -51,11 +59,20 @@
         whole.append(event);
     }
     splitter.partial.erase(0, begin);
+    // The first half of an event's end may be there already.
+    auto const size = splitter.partial.size();
+    splitter.searched = size - std::min(size, event_end.size() - 1);
     return whole;
 }
 
+bool is_endless(event_splitter const& splitter) {
+    return splitter.partial.size() > max_event_bytes || splitter.repeated > max_repeated_bytes;
+}
+
 void drop_partial(event_splitter& splitter) {
     splitter.partial.clear();
+    splitter.searched = 0;
+    splitter.repeated = 0;
 }
 
 } // namespace fireflycrank
--- a/src/eventsplit.h
+++ b/src/eventsplit.h
@@ -13,6 +13,8 @@
 /// The state of one caller's stream over all targets that serve it.
 struct event_splitter {
     std::string partial;                  ///< bytes of an event that is not complete
+    std::size_t searched{0};              ///< bytes of `partial` without an event's end
+    std::size_t repeated{0};              ///< bytes left out since an event was passed on
     std::optional<std::uint64_t> last_id; ///< of the last event passed on
     std::uint64_t events{0};              ///< passed on so far
 };
@@ -23,6 +25,12 @@
 /// @return whole events to pass on; events that the caller already has are left out
 std::string split_events(event_splitter& splitter, std::string_view bytes);
 
+/// Whether a target sends what is no stream of events: an event, or a repetition of events that the
+/// caller has, without end.
+/// @param splitter the state
+/// @return true when the target is to be left
+bool is_endless(event_splitter const& splitter);
+
 /// Drops the incomplete event of a target whose stream broke off.
 /// @param splitter the state
 void drop_partial(event_splitter& splitter);
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -352,12 +352,15 @@
         if (!streaming()) {
             body_ += bytes;
             if (body_.size() > max_answer_bytes) {
-                exchange_->cancel();
-                after(attempt_end::broken);
+                leave_endless();
             }
             return true;
         }
         pass_on(split_events(splitter_, bytes));
+        if (is_endless(splitter_)) {
+            leave_endless();
+            return true;
+        }
         bool const room = writer_->backlog() < max_backlog;
         if (!room) {
             writer_->on_drained([weak = weak_from_this()] {
@@ -370,6 +373,12 @@
         return room;
     }
 
+    // Bytes that are no answer of any use; the target is avoided for a while.
+    void leave_endless() {
+        exchange_->cancel();
+        on_exchange_end(exchange_end::broken);
+    }
+
     void pass_on(std::string const& events) {
         if (events.empty()) {
             return;
--- a/src/httpmessage.cpp
+++ b/src/httpmessage.cpp
@@ -21,6 +21,10 @@
 using beast_error = boost::beast::error_code;
 using beast_text = boost::beast::string_view;
 
+// Chunk sizes, extensions and trailers that are not complete after this much are no message: the
+// parser keeps them until they are, and nothing else bounds them.
+constexpr std::size_t max_framing_bytes = 16U << 10U;
+
 std::string text(beast_text view) {
     return std::string{view.data(), view.size()};
 }
@@ -146,7 +150,9 @@
                 boost::asio::buffer(parts_->unparsed.data(), parts_->unparsed.size()), failed);
             parts_->unparsed.erase(0, used);
             if (failed == http::error::need_more || (!failed && used == 0)) {
-                return read_fault::none;
+                bool const endless =
+                    parser.is_header_done() && parts_->unparsed.size() > max_framing_bytes;
+                return endless ? read_fault::malformed : read_fault::none;
             }
             if (failed) {
                 return fault_of(failed);
--- a/src/targetpool.cpp
+++ b/src/targetpool.cpp
@@ -20,6 +20,10 @@
 constexpr int idle_limit_divisor = 2;
 constexpr std::chrono::milliseconds silent_target_limit{3'000};
 constexpr unsigned first_final_status = 200;
+// Interim answers and answers to other requests that may come before the awaited one, and the bytes
+// of their bodies. A target that sends more is taken for one that never answers.
+constexpr unsigned max_skipped_answers = 8;
+constexpr std::size_t max_skipped_bytes = 1U << 20U;
 
 struct kept_connection {
     tcp::socket socket;
@@ -219,6 +223,10 @@
             }
         }
         auto body = reader_.take_body();
+        if (skipping_ && (skipped_bytes_ += body.size()) > max_skipped_bytes) {
+            end(exchange_end::lost);
+            return;
+        }
         bool go_on = true;
         if (!skipping_ && !body.empty() && events_.on_body) {
             auto const self = shared_from_this();
@@ -248,6 +256,10 @@
             stray_ = true;
         }
         skipping_ = false;
+        if (++skipped_answers_ > max_skipped_answers) {
+            end(exchange_end::lost);
+            return;
+        }
         auto const rest = reader_.take_rest();
         reader_ = make_reader();
         if (rest.empty()) {
@@ -265,6 +277,8 @@
     std::array<char, read_bytes> chunk_{};
     time_point connect_by_{};
     std::chrono::milliseconds idle_limit_{default_idle_limit};
+    unsigned skipped_answers_{0};
+    std::size_t skipped_bytes_{0};
     bool sent_{false};
     bool head_seen_{false};
     bool skipping_{false};
--- /dev/null
+++ b/tests/gateway_endless_test.cpp
@@ -0,0 +1,215 @@
+// Targets that send bytes without end: in a head, between chunks, in a body, in an event. Each must
+// cost bounded memory, and never look like an answer.
+#include "eventloop.h"
+#include "eventsplit.h"
+#include "httpmessage.h"
+#include "rng.h"
+#include "targetpool.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace fireflycrank {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t piece_bytes = 4'096;
+constexpr std::size_t most_bytes = 8U << 20U;
+constexpr std::size_t max_header_bytes = 64U << 10U;
+
+// Feeds `start`, then `piece` again and again; returns the bytes taken until the reader found a
+// fault, or nothing when it never did.
+std::optional<std::size_t> taken_until_fault(std::string const& start, std::string const& piece) {
+    message_reader reader{http_kind::response, max_header_bytes, 0};
+    if (reader.put(start) != read_fault::none) {
+        return start.size();
+    }
+    for (std::size_t taken = start.size(); taken < most_bytes; taken += piece.size()) {
+        if (reader.put(piece) != read_fault::none) {
+            return taken;
+        }
+        CHECK_FALSE(reader.complete());
+        reader.take_body();
+    }
+    return std::nullopt;
+}
+
+std::string const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// A target that answers each connection with a head and then repeats a piece until it is closed.
+struct endless_target {
+    endless_target(event_loop& loop, std::string begin, std::string repeat)
+        : acceptor{loop.context, tcp::endpoint{net::ip::address_v4::loopback(), 0}}
+        , socket{loop.context}
+        , start{std::move(begin)}
+        , piece{std::move(repeat)} {
+        auto const endpoint = acceptor.local_endpoint();
+        address = "127.0.0.1:" + std::to_string(endpoint.port());
+        acceptor.async_accept(socket, [this](net_error failed) {
+            if (!failed) {
+                write(start);
+            }
+        });
+    }
+
+    void write(std::string const& bytes) {
+        net::async_write(socket, net::buffer(bytes), [this](net_error failed, std::size_t size) {
+            sent += size;
+            closed = static_cast<bool>(failed);
+            if (!failed && sent < most_bytes) {
+                write(piece);
+            }
+        });
+    }
+
+    tcp::acceptor acceptor;
+    tcp::socket socket;
+    std::string start;
+    std::string piece;
+    std::string address;
+    std::size_t sent{0};
+    bool closed{false};
+};
+
+struct endless_outcome {
+    std::optional<exchange_end> end;
+    std::size_t sent{0};
+    bool closed{false};
+    unsigned heads{0};
+};
+
+// Calls such a target; answers with another status than 200 belong to other requests.
+endless_outcome call_endless(std::string const& start, std::string const& piece) {
+    event_loop loop;
+    endless_target target{loop, start, piece};
+    target_pool pool{loop.context, loop.clock};
+    endless_outcome outcome;
+    exchange_events events;
+    events.on_head = [&](message_head const& head) {
+        ++outcome.heads;
+        return head.status == 200;
+    };
+    events.on_body = [](std::string const&) { return true; };
+    events.on_end = [&](exchange_end how) { outcome.end = how; };
+    auto const call = pool.start({target.address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false,
+                                  milliseconds{2'000}, milliseconds{2'000}},
+                                 std::move(events));
+    constexpr int rounds = 5'000;
+    auto const done = [&] { return (outcome.end && target.closed) || target.sent >= most_bytes; };
+    for (int round = 0; round < rounds && !done(); ++round) {
+        loop.context.restart();
+        loop.context.run_for(milliseconds{2});
+    }
+    outcome.sent = target.sent;
+    outcome.closed = target.closed;
+    return outcome;
+}
+
+} // namespace
+
+TEST_CASE("heads and framing without end are refused within a bounded number of bytes") {
+    std::string const letters(piece_bytes, 'a');
+    struct {
+        std::string what;
+        std::string start;
+        std::string piece;
+    } const cases[]{
+        {"status line", "HTTP/1.1 200 ", letters},
+        {"header line", "HTTP/1.1 200 OK\r\nX: ", letters},
+        {"list of headers", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+        {"chunk size", chunked, std::string(piece_bytes, '0')},
+        {"chunk extension", chunked + "5;a=", letters},
+        {"second chunk's extension", chunked + "1\r\nx\r\n5;a=", letters},
+        {"trailer", chunked + "0\r\nX: ", letters},
+        {"list of trailers", chunked + "0\r\n", "X: y\r\n"},
+        {"no protocol", "", letters},
+    };
+    for (auto const& one : cases) {
+        CAPTURE(one.what);
+        auto const taken = taken_until_fault(one.start, one.piece);
+        REQUIRE(taken);
+        CHECK(*taken <= max_header_bytes + 2 * piece_bytes);
+    }
+}
+
+TEST_CASE("interim answers without end, and answers to other requests, are left") {
+    struct {
+        std::string what;
+        std::string start;
+        std::string piece;
+    } const cases[]{
+        {"interim answers", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"answers to others", "HTTP/1.1 404 X\r\nContent-Length: 1\r\n\r\nx",
+         "HTTP/1.1 404 X\r\nContent-Length: 1\r\n\r\nx"},
+        {"a body of another answer", "HTTP/1.1 404 X\r\nContent-Length: 99999999999\r\n\r\n",
+         std::string(piece_bytes, 'x')},
+        {"no answer", "", std::string(piece_bytes, 'x')},
+    };
+    for (auto const& one : cases) {
+        CAPTURE(one.what);
+        auto const outcome = call_endless(one.start, one.piece);
+        CHECK(outcome.end == exchange_end::lost);
+        CHECK(outcome.closed);
+        CHECK(outcome.sent < most_bytes);
+        CHECK(outcome.heads <= 9);
+    }
+}
+
+// Kept whole and searched from its start for each piece, 8 MB of one event took 409 ms of a
+// gateway's processor.
+TEST_CASE("an event without end is found and searched once") {
+    event_splitter splitter;
+    std::string const piece(piece_bytes, 'x');
+    std::size_t fed = 0;
+    while (!is_endless(splitter) && fed < most_bytes) {
+        CHECK(split_events(splitter, piece).empty());
+        CHECK(splitter.searched + 1 >= splitter.partial.size());
+        fed += piece.size();
+    }
+    CHECK(is_endless(splitter));
+    CHECK(fed <= (256U << 10U) + 2 * piece_bytes);
+    drop_partial(splitter);
+    CHECK_FALSE(is_endless(splitter));
+    CHECK(split_events(splitter, "id: 1\ndata: a\n\n") == "id: 1\ndata: a\n\n");
+}
+
+TEST_CASE("events that the caller has, without end, are found") {
+    event_splitter splitter;
+    split_events(splitter, "id: 5\ndata: a\n\n");
+    std::size_t fed = 0;
+    std::string const again = "id: 5\ndata: " + std::string(piece_bytes, 'x') + "\n\n";
+    while (!is_endless(splitter) && fed < most_bytes) {
+        CHECK(split_events(splitter, again).empty());
+        fed += again.size();
+    }
+    CHECK(is_endless(splitter));
+    CHECK(fed < (2U << 20U));
+}
+
+TEST_CASE("every split of a stream gives the same events") {
+    std::string stream;
+    for (int event = 1; event <= 40; ++event) {
+        stream +=
+            "id: " + std::to_string(event) + "\ndata: " + std::string(event % 7, 'x') + "\n\n";
+    }
+    rng random{4};
+    for (int round = 0; round < 200; ++round) {
+        event_splitter splitter;
+        std::string passed;
+        for (std::size_t at = 0; at < stream.size();) {
+            auto const size = 1 + next_below(random, 60);
+            passed += split_events(splitter, std::string_view{stream}.substr(at, size));
+            at += size;
+        }
+        CHECK(passed == stream);
+        CHECK(splitter.events == 40);
+    }
+}
+
+} // namespace fireflycrank
