Hold the first pass that a change can reach, and count only what is fresh

Cause: a hold lay three or four passes ahead. With passes of 80 to 150 ms the old map stayed in use for another half second after every rank had the new one. Counts of half a second at 96 ranks hid a change of demand, and plans were made every 200 ms only.

Change: the held pass follows from the time that arming takes and the length of passes; ranks that count seldom report the choices of the last 200 ms; plans are tried every 100 ms in groups of any size.

--- a/src/groupbudget.cpp
+++ b/src/groupbudget.cpp
@@ -16,6 +16,9 @@
 constexpr double bits_a_byte = 8;
 constexpr milliseconds least_counts_period{150};
 constexpr milliseconds most_counts_period{1'000};
+// Older choices would hide a change of demand. Ranks report in turn, so together they cover all of
+// the time.
+constexpr milliseconds most_counts_span{200};
 // At ease each rank of a larger group counts less often, for the coordinator's processor.
 constexpr unsigned counted_ranks = 8;
 // Groups up to this size are told everything directly and at the shortest periods.
@@ -29,8 +32,6 @@
 // late. Reading a status takes the coordinator about half a millisecond.
 constexpr milliseconds least_arm_resend{40};
 constexpr std::chrono::microseconds arm_resend_a_rank{1'200};
-constexpr milliseconds small_plan_pause{100};
-constexpr milliseconds large_plan_pause{200};
 
 // Copying of one change: a fraction of the seconds for which demand stays as it is.
 constexpr milliseconds few_copies_time{80};
@@ -69,11 +70,11 @@
     group_budget budget;
     budget.counts_period =
         std::max<duration>(fitting, std::min<duration>(eased, most_counts_period));
+    budget.counts_span = std::min<duration>(budget.counts_period, most_counts_span);
     budget.status_period = report_period;
     budget.status_life = large ? large_status_life : small_status_life;
     budget.prepare_resend = large ? large_prepare_resend : small_prepare_resend;
     budget.arm_resend = std::max<duration>(least_arm_resend, arm_resend_a_rank * shape.ranks);
-    budget.plan_pause = large ? large_plan_pause : small_plan_pause;
     // About as many relays as ranks behind each, so that both steps take as long.
     for (unsigned relays = 1; large && relays * relays < shape.ranks; ++relays) {
         budget.hand_on = relays;
--- a/src/groupbudget.h
+++ b/src/groupbudget.h
@@ -21,11 +21,11 @@
 /// The messages of a group.
 struct group_budget {
     duration counts_period{};  ///< between the counts of one rank
+    duration counts_span{};    ///< choices that they cover, up to the period
     duration status_period{};  ///< longest time between statuses that say nothing new
     duration status_life{};    ///< a status must be this fresh for a change to begin
     duration prepare_resend{}; ///< to ranks that have not prepared
     duration arm_resend{};     ///< to ranks that are not armed
-    duration plan_pause{};     ///< between a change and the next plan
     unsigned hand_on{0};       ///< instructions to prepare that one rank hands on; 0: none
 };
 
--- a/src/groupswitch.cpp
+++ b/src/groupswitch.cpp
@@ -57,8 +57,14 @@
 
 std::uint64_t lead_passes(group_coordinator const& coordinator) {
     auto const& settings = coordinator.settings;
-    auto const more = static_cast<std::uint64_t>(coordinator.slow_arming / settings.lead_span);
-    return std::min(settings.lead_passes + more, settings.most_lead_passes);
+    if (coordinator.pass_time <= duration::zero()) {
+        return settings.lead_passes;
+    }
+    auto const needed =
+        std::max(settings.switch_time, coordinator.slow_arming + settings.switch_margin);
+    auto const passes = static_cast<std::uint64_t>((needed + coordinator.pass_time - duration{1}) /
+                                                   coordinator.pass_time);
+    return std::min(1 + passes, settings.most_lead_passes);
 }
 
 void advance_preparing(group_coordinator& coordinator, time_point now, group_actions& actions) {
--- a/src/groupswitch.h
+++ b/src/groupswitch.h
@@ -92,11 +92,14 @@
     duration status_life{std::chrono::milliseconds{600}};
     /// Instructions to prepare that one rank hands on; 0: the coordinator sends all itself.
     unsigned hand_on{0};
-    /// Passes between the newest report and the held one. The report may be a pass old, and a pass
-    /// takes about as long as hold, arm and release together when no order is lost.
+    /// Time from the newest report until every rank is armed, when no order is lost. The held pass
+    /// is the first that begins later than that after a further one; an earlier one would hold the
+    /// group up, a later one leaves it with the old map.
+    duration switch_time{std::chrono::milliseconds{70}};
+    /// The same beyond the slowest arming of the last changes.
+    duration switch_margin{std::chrono::milliseconds{30}};
+    /// Passes until the held one while their length is not known.
     std::uint64_t lead_passes{3};
-    /// While orders are being lost, one more pass for each such span that arming took lately.
-    duration lead_span{std::chrono::milliseconds{40}};
     std::uint64_t most_lead_passes{8};
 };
 
@@ -122,6 +125,7 @@
     time_point own_resend_at{};
     std::uint64_t completed{0};
     std::uint64_t abandoned{0};
+    duration pass_time{};   ///< of the group lately; zero: not known
     duration last_held{};   ///< from arming to release of the last change
     duration slow_arming{}; ///< the same, a decaying maximum over the last changes
 };
--- a/src/rankagent.cpp
+++ b/src/rankagent.cpp
@@ -71,6 +71,7 @@
             load.rank = report.group->rank;
             load.group_size = report.group->size;
             load.group_open = report.group->open;
+            load.pass = agent.pass_time;
         }
     }
     auto const bytes = serialize(load);
@@ -228,6 +229,23 @@
     }
 }
 
+// Where ranks count seldom, each reads its counts twice: at the begin and the end of a short span.
+void count_when_due(rank_agent& agent) {
+    auto const at = loop_now(agent.loop);
+    auto const budget = group_budget_of(agent);
+    auto const age = at - agent.counted_at;
+    if (age >= budget.counts_period) {
+        agent.counted_at = at;
+        agent.span_begun = false;
+        read_counts(agent, true);
+    } else if (!agent.span_begun && age >= budget.counts_period - budget.counts_span) {
+        agent.span_begun = true;
+        if (budget.counts_span < budget.counts_period) {
+            read_counts(agent, false);
+        }
+    }
+}
+
 void start_periodic_work(rank_agent& agent) {
     run_every(agent.loop, tick_period, [&agent] {
         auto const at = loop_now(agent.loop);
@@ -241,11 +259,7 @@
         return true;
     });
     run_every(agent.loop, counts_tick, [&agent] {
-        auto const at = loop_now(agent.loop);
-        if (at - agent.counted_at >= group_budget_of(agent).counts_period) {
-            agent.counted_at = at;
-            read_counts(agent);
-        }
+        count_when_due(agent);
         return true;
     });
     run_every(agent.loop, sync_period, [&agent] {
--- a/src/rankagent.h
+++ b/src/rankagent.h
@@ -62,7 +62,9 @@
 
     // The rank's part.
     std::optional<expert_counts> counted; ///< newest counts of the engine
-    std::vector<std::uint64_t> unsent;    ///< choices that no status carried yet
+    std::vector<std::uint64_t> unsent;    ///< choices of the span that the next status covers
+    bool counts_due{false};               ///< the next status carries them
+    bool span_begun{false};               ///< the counts at the span's begin were read
     std::optional<rank_status> told;      ///< the last status sent, without counts and experts
     time_point told_at{};
     unsigned sets{0};
@@ -109,9 +111,11 @@
 /// @param agent the agent
 void read_report(rank_agent& agent);
 
-/// Reads the engine's counts and, when they changed, its experts.
+/// Reads the engine's counts.
 /// @param agent the agent
-void read_counts(rank_agent& agent);
+/// @param report send what was counted since the last reading; otherwise a span begins with this
+/// one
+void read_counts(rank_agent& agent, bool report);
 
 /// Sends the rank's status to the group's coordinator.
 /// @param agent the agent
--- a/src/rankswitch.cpp
+++ b/src/rankswitch.cpp
@@ -24,6 +24,8 @@
 // A change is seen about 0.15 s after it began. The fresh window then holds 58 parts in 100 of the
 // new demand and the steady one 16: what they differ by is as much as is still missing.
 constexpr double carried_on = 1.0;
+// Pause between the end of one change and the next plan.
+constexpr std::chrono::milliseconds plan_pause{100};
 // A change must lower the most loaded rank by this part of the mean; copies are priced.
 constexpr double least_gain = 0.10;
 // While passes are short, imbalance delays nobody.
@@ -104,7 +106,10 @@
         std::max({agent.highest_version, report.map_version, report.prepared_version});
     status.highest_version = agent.highest_version;
     status.sets = agent.sets;
-    status.counts = std::exchange(agent.unsent, {});
+    if (agent.counts_due) {
+        agent.counts_due = false;
+        status.counts = std::exchange(agent.unsent, {});
+    }
     bool const known = agent.experts && agent.experts_version == report.map_version &&
                        agent.experts_epoch == report.group->epoch;
     if (known) {
@@ -275,7 +280,7 @@
         !has_demand(agent.steady_demand)) {
         return;
     }
-    agent.plan_at = at + group_budget_of(agent).plan_pause;
+    agent.plan_at = at + plan_pause;
     auto const present = present_map(coordinator);
     if (!is_whole(present, agent.steady_demand.demand)) {
         return;
@@ -458,22 +463,28 @@
 
 } // namespace
 
-void read_counts(rank_agent& agent) {
+void read_counts(rank_agent& agent, bool report) {
     if (agent.counting || !agent.report || !agent.report->group) {
         return;
     }
     agent.counting = true;
     auto const& address = agent.settings.target_address;
     call_engine(agent.loop, agent.pool, address, platform::encode_counts_call(address),
-                counts_limit, [&agent](std::optional<engine_answer> answer) {
+                counts_limit, [&agent, report](std::optional<engine_answer> answer) {
                     agent.counting = false;
-                    if (!answer || answer->status != ok_status) {
+                    auto const counts = answer && answer->status == ok_status
+                                            ? platform::decode_counts(answer->body)
+                                            : std::nullopt;
+                    if (!counts) {
                         return;
                     }
-                    if (auto const counts = platform::decode_counts(answer->body)) {
-                        add_counts(agent, *counts);
-                        send_status(agent);
+                    add_counts(agent, *counts);
+                    if (!report) {
+                        agent.unsent.clear(); // choices before the reported span
+                        return;
                     }
+                    agent.counts_due = true;
+                    send_status(agent);
                 });
 }
 
@@ -575,6 +586,7 @@
     if (!agent.coordinator) {
         return;
     }
+    agent.coordinator->pass_time = agent.pass_time;
     plan(agent);
     auto const actions = advance(*agent.coordinator, loop_now(agent.loop));
     if (agent.coordinator->stage != switch_stage::idle) {
