Prefer other targets to one that answers with failures; try harmless requests elsewhere

Change: a target is suspect for 1 to 8 s after a failure; resumable streams and idempotent requests that failed are tried at another target within the retry budget, as long as that has helped lately.

--- a/src/callplan.h
+++ b/src/callplan.h
@@ -3,6 +3,7 @@
 /// truthful refusal, or an answer that leaves the outcome open. Pure.
 #pragma once
 
+#include "rng.h"
 #include "serviceconfig.h"
 
 #include <cstdint>
@@ -16,7 +17,8 @@
     refused,       ///< the target said that it did not run the request
     wrong_target,  ///< another incarnation answers at the address; it did not run the request
     lost,          ///< no usable answer after the whole request had been handed over
-    broken         ///< the answer ended early
+    broken,        ///< the answer ended early
+    failed         ///< the target ran it and answered that it failed
 };
 
 /// A request so far.
@@ -36,6 +38,7 @@
     try_another,
     refuse,         ///< 503: it has not run and never will
     report_unknown, ///< 502: it may have run
+    pass_on,        ///< the target's own failure is the answer
     break_off       ///< end the started answer so that it cannot look complete
 };
 
@@ -54,6 +57,23 @@
 call_step after_attempt(call_progress& progress, attempt_end end, bool time_left,
                         take_budget_function&& take_budget);
 
+/// Whether repeating requests that a target answered with a failure has helped lately. Some
+/// requests fail wherever they run.
+struct failure_repeats {
+    double helped{1.0}; ///< share of the last repeats that were answered well
+};
+
+/// Whether a failed request is worth another run.
+/// @param repeats of its service
+/// @param random decides who tries while repeats hardly help
+/// @return true when it should be repeated
+bool worth_repeating(failure_repeats const& repeats, rng& random);
+
+/// Notes how a repeat ended.
+/// @param repeats of its service
+/// @param helped the repeat was answered well
+void note_repeat(failure_repeats& repeats, bool helped);
+
 /// Attempts that sent nothing before the request is given up.
 inline constexpr unsigned max_unconnected = 4;
 
@@ -63,8 +83,8 @@
 template <class take_budget_function>
 call_step after_attempt(call_progress& progress, attempt_end end, bool time_left,
                         take_budget_function&& take_budget) {
-    progress.may_have_run =
-        progress.may_have_run || end == attempt_end::lost || end == attempt_end::broken;
+    progress.may_have_run = progress.may_have_run || end == attempt_end::lost ||
+                            end == attempt_end::broken || end == attempt_end::failed;
     bool const harmless = !progress.may_have_run || may_run_again(progress);
     bool const places = (progress.sent < progress.max_attempts || progress.may_reoffer) &&
                         progress.unconnected < max_unconnected && progress.offers < max_offers;
@@ -75,6 +95,9 @@
     if (progress.answer_started) {
         return call_step::break_off;
     }
+    if (end == attempt_end::failed) {
+        return call_step::pass_on;
+    }
     return progress.may_have_run ? call_step::report_unknown : call_step::refuse;
 }
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -46,7 +46,8 @@
     std::map<std::string, std::vector<std::string>> followed; ///< targets by service, sorted
     std::map<std::string, time_point> follow_told_at;         ///< to rank agents, by address
     choice_settings choice;
-    std::map<std::string, retry_ledger> ledgers; ///< by service
+    std::map<std::string, retry_ledger> ledgers;       ///< by service
+    std::map<std::string, failure_repeats> repeats_of; ///< by service
     retry_bound bound;
 
     std::shared_ptr<service_config const> config;
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -15,6 +15,7 @@
 constexpr unsigned gateway_timeout = 504;
 constexpr unsigned ok_status = 200;
 constexpr unsigned first_error_status = 300;
+constexpr unsigned first_server_error = 500;
 
 // One round trip between zones and a full accept queue fit; a dead VM is given up soon enough to
 // try another within a first token's objective.
@@ -64,6 +65,8 @@
         return "lost";
     case attempt_end::broken:
         return "broken";
+    case attempt_end::failed:
+        return "failed";
     }
     return "";
 }
@@ -76,6 +79,8 @@
         return "refuse";
     case call_step::report_unknown:
         return "report_unknown";
+    case call_step::pass_on:
+        return "pass_on";
     case call_step::break_off:
         return "break_off";
     }
@@ -455,8 +460,20 @@
             after(attempt_end::lost);
             return;
         }
+        bool const bad =
+            answer_->status >= first_server_error && answer_->status != gateway_timeout;
         if (auto* const known = view()) {
-            note_success(*known);
+            bad ? note_bad_answer(*known, owner_.choice, loop_now(owner_.loop))
+                : note_success(*known);
+        }
+        if (repeats_failure_) {
+            note_repeat(owner_.repeats_of[service_], !bad);
+            repeats_failure_ = false;
+        }
+        if (bad && !progress_.answer_started && may_run_again(progress_) &&
+            worth_repeating(owner_.repeats_of[service_], owner_.random)) {
+            after(attempt_end::failed);
+            return;
         }
         if (progress_.answer_started && !streaming()) {
             // The target that should go on with the stream answered with a failure of its own.
@@ -467,6 +484,10 @@
             finish_stream();
             return;
         }
+        answer_whole();
+    }
+
+    void answer_whole() {
         count_outcome("answered");
         log_end(events::call_answered, answer_->status, "");
         writer_->send(answer_->status, platform::encode_caller_fields(head_), std::move(body_));
@@ -539,7 +560,12 @@
                      {"step", name_of(step)}});
         count(*owner_.metrics, "fireflycrank_attempts_failed_total",
               std::string{"end=\""} + name_of(end) + "\"");
+        if (step == call_step::pass_on) {
+            answer_whole();
+            return;
+        }
         if (step == call_step::try_another) {
+            repeats_failure_ = end == attempt_end::failed;
             attempt();
             return;
         }
@@ -665,7 +691,8 @@
     time_point sent_at_{};
     time_point first_event_at_{};
     time_point last_event_at_{};
-    time_point paused_at_{}; ///< begin of the longest pause between events
+    bool repeats_failure_{false}; ///< the present attempt follows a target's failure
+    time_point paused_at_{};      ///< begin of the longest pause between events
     duration longest_pause_{};
     std::vector<std::string> sent_to_;  ///< targets that were offered the request
     std::vector<std::string> excluded_; ///< of these, those that may not be asked again
--- a/src/targetchoice.cpp
+++ b/src/targetchoice.cpp
@@ -35,17 +35,21 @@
     return paces;
 }
 
-// Lower is better: sound targets first, then avoided ones, then those that are probably gone. Where
-// targets work in groups, one whose group is unknown is avoided.
-int doubt(target_view const& view, bool in_groups, choice_settings const& settings,
-          time_point now) {
+// Lower is better. Where targets work in groups, one whose group is unknown is avoided.
+enum class doubt_level : std::uint8_t { none, suspect, avoided, silent };
+
+doubt_level doubt(target_view const& view, bool in_groups, choice_settings const& settings,
+                  time_point now) {
     bool const closed_lately =
         view.group && !view.group->open && now - view.group->reported_at < settings.report_life;
     bool const group_closed = view.group ? closed_lately : in_groups;
     if (now - view.heard_at > settings.silent_after || !view.answering) {
-        return 2;
+        return doubt_level::silent;
+    }
+    if (now < view.avoid_until || group_closed) {
+        return doubt_level::avoided;
     }
-    return now < view.avoid_until || group_closed ? 1 : 0;
+    return now < view.suspect_until ? doubt_level::suspect : doubt_level::none;
 }
 
 bool is_followed(target_filter const& filter, std::string const& id) {
@@ -55,7 +59,7 @@
 
 struct scored_target {
     target_view const* view{nullptr};
-    int doubt{0};
+    doubt_level doubt{doubt_level::none};
     bool followed{true};
     double load{0};
     double cost{0};
@@ -63,7 +67,7 @@
 
 // The order of preference apart from the cost.
 int rank_of(scored_target const& one) {
-    return 2 * one.doubt + (one.followed ? 0 : 1);
+    return 2 * static_cast<int>(one.doubt) + (one.followed ? 0 : 1);
 }
 
 } // namespace
@@ -123,7 +127,8 @@
     auto const& chosen = *equal[next_below(random, equal.size())];
     choice.id = chosen.view->said.id;
     choice.load = chosen.load;
-    choice.sound = chosen.doubt == 0;
+    choice.sound = chosen.doubt <= doubt_level::suspect;
+    choice.suspect = chosen.doubt == doubt_level::suspect;
     choice.slots = chosen.view->said.slots;
     choice.report_age = chosen.view->load ? now - chosen.view->load->taken_at : duration{-1};
     return choice;
@@ -164,9 +169,22 @@
     view.avoid_until = now + std::min(pause, settings.longest_pause);
 }
 
+void note_bad_answer(target_view& view, choice_settings const& settings, time_point now) {
+    constexpr unsigned most_doublings = 6;
+    auto const pause =
+        settings.first_suspicion * (1U << std::min(view.bad_answers, most_doublings));
+    ++view.bad_answers;
+    view.suspect_until = now + std::min(pause, settings.longest_suspicion);
+    // It answers, so it is not down.
+    view.failures = 0;
+    view.avoid_until = {};
+}
+
 void note_success(target_view& view) {
     view.failures = 0;
     view.avoid_until = {};
+    view.bad_answers = 0;
+    view.suspect_until = {};
 }
 
 } // namespace fireflycrank
--- a/src/targetchoice.h
+++ b/src/targetchoice.h
@@ -49,9 +49,11 @@
     unsigned own_running{0}; ///< requests of this gateway that it has not finished
     std::optional<load_sample> load;
     std::optional<group_place> group;
-    unsigned failures{0};     ///< in a row
-    time_point avoid_until{}; ///< after failures
-    bool answering{true};     ///< false: its agent gets no answer from it
+    unsigned failures{0};       ///< in a row
+    time_point avoid_until{};   ///< after failures
+    unsigned bad_answers{0};    ///< in a row
+    time_point suspect_until{}; ///< after bad answers
+    bool answering{true};       ///< false: its agent gets no answer from it
 };
 
 /// Weights and times of the choice.
@@ -64,6 +66,10 @@
     /// First pause after a failure; doubled with each further one.
     duration first_pause{std::chrono::milliseconds{200}};
     duration longest_pause{std::chrono::seconds{3}};
+    /// A target that answers with failures is fast and looks idle. Others are preferred for this
+    /// long after one, doubled with each further one in a row.
+    duration first_suspicion{std::chrono::seconds{1}};
+    duration longest_suspicion{std::chrono::seconds{8}};
     double other_zone{0.3};    ///< in requests: bytes between zones cost more
     double equal_margin{0.75}; ///< loads this close count as equal, so that gateways do not herd
 };
@@ -76,6 +82,7 @@
     unsigned candidates{0}; ///< targets that could be used
     duration report_age{};  ///< of the report behind `load`; negative without one
     bool sound{false};      ///< heard of lately, not avoided, its group open
+    bool suspect{false};    ///< answered with a failure lately
 };
 
 /// Estimates the requests that a target has now.
@@ -125,6 +132,12 @@
 /// @param now the time
 void note_failure(target_view& view, choice_settings const& settings, time_point now);
 
+/// Notes that a target ran a request and answered that it failed.
+/// @param view the target
+/// @param settings the pauses
+/// @param now the time
+void note_bad_answer(target_view& view, choice_settings const& settings, time_point now);
+
 /// Notes that a target served.
 /// @param view the target
 void note_success(target_view& view);
