--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -48,13 +48,6 @@
     return !owner.stopping && owner.config != nullptr && owner.config_confirmed;
 }
 
-void send_beats(gateway& owner, bool at_once) {
-    auto const at = loop_now(owner.loop);
-    for (auto const& beat : due_beats(owner.subscriber, at_once, at)) {
-        owner.link->send(beat.to, beat_type, serialize(beat.message));
-    }
-}
-
 void update_readiness(gateway& owner) {
     bool const ready = is_ready(owner);
     if (ready == owner.subscriber.self.ready) {
@@ -67,7 +60,7 @@
                  {"stopping", owner.stopping},
                  {"version", owner.config ? owner.config->version : 0},
                  {"targets", owner.targets.size()}});
-    send_beats(owner, true);
+    send_beats(owner.loop, *owner.link, owner.subscriber, owner.attached, true);
 }
 
 void install_config(gateway& owner, configuration_body const& body, std::string const& from) {
@@ -374,7 +367,7 @@
     });
     run_every(owner.loop, sync_period, [&daemon, &owner] {
         owner.link->tick();
-        send_beats(owner, false);
+        send_beats(owner.loop, *owner.link, owner.subscriber, owner.attached, false);
         confirm_config(owner);
         update_readiness(owner);
         daemon.callers->limits(limits_of(owner));
@@ -453,7 +446,7 @@
         owner.loop, [&daemon] { begin_stop(daemon); }, [&daemon] { reload(daemon); });
     watch_file(owner.loop, settings_path, [&daemon] { reload(daemon); });
     start_periodic_work(daemon);
-    send_beats(owner, true);
+    send_beats(owner.loop, *owner.link, owner.subscriber, owner.attached, true);
     log_event(events::process_started, {{"role", "gateway"},
                                         {"process", owner.settings.name},
                                         {"incarnation", owner.subscriber.self.started}});
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -4,6 +4,7 @@
 /// gateway.cpp keeps the state current, gatewaycall.cpp serves one request.
 #pragma once
 
+#include "beatsender.h"
 #include "callmessage.h"
 #include "callplan.h"
 #include "callqueue.h"
@@ -41,6 +42,7 @@
     std::shared_ptr<metrics_registry> metrics;
 
     directory_subscriber subscriber;
+    attached_set attached; ///< registrars that hear this gateway
     target_directory directory;
     std::map<std::string, target_view> targets;
     std::map<std::string, std::vector<std::string>> followed; ///< targets by service, sorted
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -298,6 +298,7 @@
                      {"slots", choice.slots},
                      {"report_age_ms", in_millis(choice.report_age)},
                      {"candidates", choice.candidates},
+                     {"suspect", choice.suspect},
                      {"waited_ms", in_millis(at - request_.began)},
                      {"left_ms", time_left().count()}});
         exchange_ = owner_.pool.start(target_bytes(chosen), exchange_handlers());
@@ -462,10 +463,7 @@
         }
         bool const bad =
             answer_->status >= first_server_error && answer_->status != gateway_timeout;
-        if (auto* const known = view()) {
-            bad ? note_bad_answer(*known, owner_.choice, loop_now(owner_.loop))
-                : note_success(*known);
-        }
+        bad ? suspect_target() : trust_target();
         if (repeats_failure_) {
             note_repeat(owner_.repeats_of[service_], !bad);
             repeats_failure_ = false;
@@ -487,6 +485,27 @@
         answer_whole();
     }
 
+    void trust_target() {
+        if (auto* const known = view()) {
+            note_success(*known);
+        }
+    }
+
+    void suspect_target() {
+        auto* const known = view();
+        if (known == nullptr) {
+            return;
+        }
+        auto const at = loop_now(owner_.loop);
+        note_bad_answer(*known, owner_.choice, at);
+        log_bounded(owner_.loop, events::target_suspected,
+                    {{"call", call_.attempt_id},
+                     {"target", target_},
+                     {"status", answer_->status},
+                     {"in_a_row", known->bad_answers},
+                     {"for_ms", in_millis(known->suspect_until - at)}});
+    }
+
     void answer_whole() {
         count_outcome("answered");
         log_end(events::call_answered, answer_->status, "");
--- a/src/rankagent.cpp
+++ b/src/rankagent.cpp
@@ -103,9 +103,7 @@
         self.target_id = id;
         ++self.edition;
         forget_daemons(agent.subscriber);
-        for (auto const& beat : due_beats(agent.subscriber, true, loop_now(agent.loop))) {
-            agent.link->send(beat.to, beat_type, serialize(beat.message));
-        }
+        send_beats(agent.loop, *agent.link, agent.subscriber, agent.attached, true);
     }
 }
 
@@ -265,9 +263,7 @@
     run_every(agent.loop, sync_period, [&agent] {
         agent.link->tick();
         agent.pool.sweep();
-        for (auto const& beat : due_beats(agent.subscriber, false, loop_now(agent.loop))) {
-            agent.link->send(beat.to, beat_type, serialize(beat.message));
-        }
+        send_beats(agent.loop, *agent.link, agent.subscriber, agent.attached, false);
         return true;
     });
     run_every(agent.loop, slow_period, [&agent] {
--- a/src/rankagent.h
+++ b/src/rankagent.h
@@ -4,6 +4,7 @@
 /// One event loop runs it all; nothing is locked.
 #pragma once
 
+#include "beatsender.h"
 #include "directorysync.h"
 #include "engineload.h"
 #include "enginereport.h"
@@ -47,6 +48,7 @@
     std::shared_ptr<http_listener> metrics_listener;
     target_pool pool;
     directory_subscriber subscriber;
+    attached_set attached; ///< registrars that hear this agent
     target_directory directory;
     rng random;
 
