--- a/src/attachment.cpp
+++ b/src/attachment.cpp
@@ -31,17 +31,18 @@
         if (!contact.attached) {
             continue;
         }
+        bool const silent =
+            now - std::max(contact.attached_at, contact.heard_at) > settings.answer_patience;
         bool const answered = contact.heard_at > contact.attached_at;
-        if (now - std::max(contact.attached_at, contact.heard_at) > settings.answer_patience) {
-            leave(contact, settings, now);
-        } else if (!answered) {
-            continue;
-        } else if (contact.confirmed) {
+        if (answered && contact.confirmed) {
             contact.failures = 0;
             contact.unsure_since = {};
-        } else if (contact.unsure_since == time_point{}) {
+        } else if (answered && contact.unsure_since == time_point{}) {
             contact.unsure_since = now;
-        } else if (now - contact.unsure_since > settings.unsure_patience) {
+        }
+        bool const unsure = contact.unsure_since != time_point{} &&
+                            now - contact.unsure_since > settings.unsure_patience;
+        if (silent || unsure) {
             leave(contact, settings, now);
         }
     }
--- a/tests/gateway_attach_test.cpp
+++ b/tests/gateway_attach_test.cpp
@@ -183,9 +183,11 @@
     }
     for (auto const& [address, process] : fleet.processes) {
         auto const& registrars = process.subscriber.registrars;
-        bool const near = std::any_of(registrars.begin(), registrars.end(), [&](auto const& entry) {
-            return entry.second.attached && entry.second.zone == process.subscriber.self.zone;
-        });
+        auto const& zone = process.subscriber.self.zone;
+        bool const near =
+            std::any_of(registrars.begin(), registrars.end(), [&zone](auto const& entry) {
+                return entry.second.attached && entry.second.zone == zone;
+            });
         CHECK(near);
     }
 }
@@ -256,8 +258,8 @@
         }
         return age;
     };
-    for (int round = 0; round < 10; ++round) {
-        said.sequence = static_cast<std::uint64_t>(round + 1);
+    for (std::uint64_t round = 0; round < 10; ++round) {
+        said.sequence = round + 1;
         auto& called = fleet.registrars.at("r" + std::to_string(round % 9) + ":1");
         take_announcement(called.targets, said, announcement_source::target, at_ms(fleet.ms));
         run_for(fleet, milliseconds{1'200});
