Bound the closing of a mailbox, and the quick start's stop

A control replica hung in mailbox::close: nng_close (1.5.2) waits for ever when peers open or close connections at the same moment. Reproduced at the 7th of 12 quick starts; the stack of the hung process shows mailbox::close in nng_close. Ruled out: the replica's thread, the HTTP listener and the worker pool had ended.

Change: sockets are closed on a thread of their own, for a second at most; 109 tells of a socket that is left to the end of the process. A send that retires idle peers no longer closes them under the mailbox's lock. The quick start ends late processes after 20 s and fails.

--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -11,10 +11,27 @@
 mkdir -p "$run/log"
 pids=()
 
+stop_limit_s=20 # an entry drains for 10 s at the longest here
+
+# Ends whatever is still there after the limit, so that the script always ends with a verdict.
+end_late_processes() {
+    for _ in $(seq "$stop_limit_s"); do sleep 1; done
+    for pid in "${pids[@]}"; do
+        if kill -KILL "$pid" 2>/dev/null; then echo "process $pid did not stop within $stop_limit_s s" >&2; fi
+    done
+}
+
 stop_all() {
+    local verdict=$? pid
     # Agents and entries drain first, so that the control majority is there to the last.
     for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+    end_late_processes &
+    local watch=$!
+    for pid in "${pids[@]}"; do
+        wait "$pid" 2>/dev/null || [ $? -ne 137 ] || verdict=1
+    done
+    kill "$watch" 2>/dev/null || true
+    exit "$verdict"
 }
 trap stop_all EXIT
 
--- a/src/events.h
+++ b/src/events.h
@@ -24,6 +24,7 @@
 inline constexpr log_event_kind process_stopped{103, "process_stopped", log_level::info};
 inline constexpr log_event_kind process_failed{107, "process_failed", log_level::error};
 inline constexpr log_event_kind engine_probe_changed{108, "engine_probe_changed", log_level::warn};
+inline constexpr log_event_kind mailbox_close_stuck{109, "mailbox_close_stuck", log_level::warn};
 inline constexpr log_event_kind message_malformed{106, "message_malformed", log_level::warn};
 
 // 2xx: routing, admission, retries.
--- a/src/mailbox.cpp
+++ b/src/mailbox.cpp
@@ -1,5 +1,6 @@
 #include "mailbox.h"
 
+#include "log.h"
 #include "messages.pb.h"
 
 #include <nng/nng.h>
@@ -8,9 +9,11 @@
 
 #include <atomic>
 #include <chrono>
+#include <future>
 #include <map>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 namespace fireflycrank {
 
@@ -25,6 +28,8 @@
 constexpr std::size_t max_message_bytes = 32U << 20U;
 // Peers unused for this long lose their socket, so that replaced vms do not leave sockets behind.
 constexpr std::chrono::minutes idle_peer_limit{2};
+// Closing takes under a millisecond, or never ends (see close_apart).
+constexpr std::chrono::seconds close_limit{1};
 
 struct peer {
     nng_socket socket{};
@@ -93,6 +98,21 @@
     return true;
 }
 
+// Closes sockets on a thread of their own: nng_close (nng 1.5.2) can wait for ever for a connection
+// that a peer opens or closes at the same moment. A socket that does not close ends with the
+// process.
+std::future<void> close_apart(std::vector<nng_socket> sockets) {
+    std::promise<void> closed;
+    auto done = closed.get_future();
+    std::thread{[sockets = std::move(sockets), closed = std::move(closed)]() mutable {
+        for (nng_socket const socket : sockets) {
+            nng_close(socket);
+        }
+        closed.set_value();
+    }}.detach();
+    return done;
+}
+
 } // namespace
 
 mailbox::mailbox(std::unique_ptr<implementation> parts) : parts_{std::move(parts)} {}
@@ -150,13 +170,17 @@
     }
     auto found = parts_->peers.find(to);
     if (found == parts_->peers.end()) {
-        std::erase_if(parts_->peers, [moment](auto const& entry) {
+        std::vector<nng_socket> idle_sockets;
+        std::erase_if(parts_->peers, [moment, &idle_sockets](auto const& entry) {
             bool const idle = moment - entry.second.last_used > idle_peer_limit;
             if (idle) {
-                nng_close(entry.second.socket);
+                idle_sockets.push_back(entry.second.socket);
             }
             return idle;
         });
+        if (!idle_sockets.empty()) {
+            close_apart(std::move(idle_sockets));
+        }
         peer opened;
         if (!open_peer(to, opened)) {
             ++parts_->counters.dropped;
@@ -190,12 +214,23 @@
     if (parts_->receiver.joinable()) {
         parts_->receiver.join();
     }
-    nng_close(parts_->inbound);
-    std::lock_guard const lock{parts_->mutex};
-    for (auto const& [address, entry] : parts_->peers) {
-        nng_close(entry.socket);
+    std::vector<nng_socket> outbound;
+    {
+        std::lock_guard const lock{parts_->mutex};
+        for (auto const& [address, entry] : parts_->peers) {
+            outbound.push_back(entry.socket);
+        }
+        parts_->peers.clear();
+    }
+    // The inbound socket by itself, so that its address is free again whatever the others do.
+    auto const inbound_closed = close_apart({parts_->inbound});
+    auto const outbound_closed = close_apart(std::move(outbound));
+    auto const limit = std::chrono::steady_clock::now() + close_limit;
+    bool const closed = inbound_closed.wait_until(limit) == std::future_status::ready &&
+                        outbound_closed.wait_until(limit) == std::future_status::ready;
+    if (!closed) {
+        log_event(events::mailbox_close_stuck, {{"address", parts_->address}});
     }
-    parts_->peers.clear();
 }
 
 } // namespace fireflycrank
--- a/src/mailbox.h
+++ b/src/mailbox.h
@@ -65,7 +65,8 @@
     /// @return "ip:port"
     std::string const& address() const;
 
-    /// Closes all sockets and waits for the receiving thread. Called by the destructor.
+    /// Ends the receiving thread and closes all sockets. A socket that the library cannot close
+    /// within a second is left to the process's end. Called by the destructor.
     void close();
 
 private:
