Forget a registrar's unsure answer when it is attached again

Cause: unsure_since was kept when a registrar was detached for being less preferred, so it was left at once when it was attached again, before it answered, and avoided for two seconds or more.

--- a/src/attachment.cpp
+++ b/src/attachment.cpp
@@ -22,7 +22,6 @@
     contact.avoid_until = now + std::min<duration>(pause, settings.longest_avoid);
     ++contact.failures;
     contact.attached = false;
-    contact.unsure_since = {};
 }
 
 void leave_unfit(directory_subscriber& subscriber, time_point now) {
@@ -109,6 +108,7 @@
         if (!contact.attached) {
             contact.attached = true;
             contact.attached_at = now;
+            contact.unsure_since = {};
             contact.next_beat = now;
         }
         all_fit = all_fit && contact.heard_at > contact.attached_at && contact.confirmed;
--- a/tests/gateway_attach_test.cpp
+++ b/tests/gateway_attach_test.cpp
@@ -242,6 +242,45 @@
     }
 }
 
+// Guards against a registrar that is left at once when it is attached again, for an answer from
+// before it was detached.
+TEST_CASE("a registrar that is attached again has its time to answer") {
+    directory_subscriber subscriber;
+    subscriber.self = {"g:1", daemon_role::gateway, "z0", "c", true, "", 1, "", 0};
+    subscriber.settings.attachment.gateway_links = 1;
+    configure_registrars(subscriber, {"r0:1", "r1:1"}, at_ms(0));
+    choose_attachments(subscriber, at_ms(0));
+    auto& registrars = subscriber.registrars;
+    auto const preferred = registrars.at("r0:1").attached ? "r0:1" : "r1:1";
+    auto const other = registrars.at("r0:1").attached ? "r1:1" : "r0:1";
+
+    // The other one is attached while the preferred one is avoided, and answers that it is unsure.
+    registrars.at(preferred).attached = false;
+    registrars.at(preferred).avoid_until = at_ms(500);
+    registrars.at(preferred).learned_at = at_ms(20000);
+    registrars.at(other).learned_at = at_ms(20000);
+    choose_attachments(subscriber, at_ms(100));
+    REQUIRE(registrars.at(other).attached);
+    registrars.at(other).heard_at = at_ms(200);
+    registrars.at(other).confirmed = false;
+    choose_attachments(subscriber, at_ms(200));
+
+    // The preferred one is back and sure, so the other one is detached.
+    choose_attachments(subscriber, at_ms(600));
+    registrars.at(preferred).heard_at = at_ms(700);
+    registrars.at(preferred).confirmed = true;
+    choose_attachments(subscriber, at_ms(700));
+    REQUIRE_FALSE(registrars.at(other).attached);
+
+    // Much later the preferred one falls silent, and the other one is attached again.
+    registrars.at(preferred).attached = false;
+    registrars.at(preferred).avoid_until = at_ms(60000);
+    choose_attachments(subscriber, at_ms(10000));
+    REQUIRE(registrars.at(other).attached);
+    choose_attachments(subscriber, at_ms(10100));
+    CHECK(registrars.at(other).attached);
+}
+
 // Only registrars are told of each announcement; gateways learn which targets fell silent.
 TEST_CASE("a target stays heard through registrars that it does not call") {
     auto const silent_after = choice_settings{}.silent_after;
