Give an order again that the own engine leaves unanswered

An agent gave up after 300 ms and waited for its coordinator, which asks again after 900 ms (prepare) or 115 ms (arm): changes took 1.0 and 1.9 s instead of 0.2 s, and a group was held for 240 to 280 ms while arming. In that time 1,000 streams paused for over 150 ms.

Change: an agent gives an unanswered prepare again each 40 ms and an arm each 10 ms (orderrepeat), up to eight and ten times. Orders to the own engine are not priced, and engines refuse what is done.

--- a/src/rankswitch.cpp
+++ b/src/rankswitch.cpp
@@ -1,6 +1,7 @@
 #include "countcode.h"
 #include "directorywire.h"
 #include "engineclient.h"
+#include "orderrepeat.h"
 #include "platform/enginecalls.h"
 #include "rankagent.h"
 
@@ -12,6 +13,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds order_limit{300};
+// The coordinator itself repeats a release until the pass begins.
+constexpr repeat_limits given_once{order_limit, 1};
 constexpr std::chrono::milliseconds counts_limit{500};
 constexpr std::chrono::milliseconds busy_span{1'500};
 // Time in which old choices lose half of their weight. Demand changes within seconds.
@@ -34,7 +37,6 @@
 constexpr double pass_weight = 0.5; // of the newest sample
 constexpr double great_skew = 2.2;
 constexpr unsigned ok_status = 200;
-constexpr unsigned accepted_status = 202;
 
 // A group that has work and begins no pass for this long stands still. Later ranks wait longer, so
 // that usually one agent acts.
@@ -42,10 +44,6 @@
 constexpr std::chrono::milliseconds standstill_per_rank{80};
 constexpr std::chrono::milliseconds remote_limit{300};
 
-bool succeeded(std::optional<engine_answer> const& answer) {
-    return answer && (answer->status == ok_status || answer->status == accepted_status);
-}
-
 std::string group_name(rank_agent const& agent) {
     return agent.settings.target_service + "/" + agent.report->group->name;
 }
@@ -59,19 +57,36 @@
                  {"status", answer ? answer->status : 0}});
 }
 
-void order_own(rank_agent& agent, platform::rank_order const& order, char const* name,
-               std::function<void(bool)> done) {
+// An order to the own engine.
+struct own_order {
+    platform::rank_order order;
+    char const* name{""};
+    given_order given;
+};
+
+void give_own(rank_agent& agent, std::shared_ptr<own_order> const& own) {
+    auto const at = loop_now(agent.loop);
+    if (!give_now(own->given, at)) {
+        return;
+    }
     auto const& address = agent.settings.target_address;
-    agent.busy_until = loop_now(agent.loop) + busy_span;
-    call_engine(
-        agent.loop, agent.pool, address, platform::encode_order_call(address, order), order_limit,
-        [&agent, order, name, done = std::move(done)](std::optional<engine_answer> const& answer) {
-            log_order(agent, name, order.version, order.pass, answer);
-            if (done) {
-                done(succeeded(answer));
-            }
-            read_report(agent);
-        });
+    agent.busy_until = at + busy_span;
+    call_engine(agent.loop, agent.pool, address, platform::encode_order_call(address, own->order),
+                order_limit, [&agent, own](std::optional<engine_answer> const& answer) {
+                    own->given.answered = own->given.answered || answer.has_value();
+                    log_order(agent, own->name, own->order.version, own->order.pass, answer);
+                    read_report(agent);
+                });
+    run_after(agent.loop, own->given.limits.patience, [&agent, own] { give_own(agent, own); });
+}
+
+void order_own(rank_agent& agent, platform::rank_order order, char const* name,
+               repeat_limits const& limits) {
+    auto const own = std::make_shared<own_order>();
+    own->order = std::move(order);
+    own->name = name;
+    own->given.limits = limits;
+    give_own(agent, own);
 }
 
 // The agent of rank 0 in the same group.
@@ -338,7 +353,7 @@
     order.epoch = agent.coordinator->epoch;
     order.fence = agent.coordinator->version;
     order.pass = pass;
-    order_own(agent, order, "release", {});
+    order_own(agent, order, "release", given_once);
 }
 
 void carry_out(rank_agent& agent, group_actions const& actions) {
@@ -557,7 +572,8 @@
         return;
     }
     order.map = std::move(map).value();
-    order_own(agent, order, prepares ? "prepare" : "arm", {});
+    order_own(agent, std::move(order), prepares ? "prepare" : "arm",
+              prepares ? prepare_repeats : arm_repeats);
 }
 
 void complete_stalled_switch(rank_agent& agent) {
