Leave a map change that another agent has completed

A loss of the core had delayed a status; another agent found the group standing still, armed and released it; armed ranks are none any more once the pass has begun, so the coordinator waited for ever, sent arm orders again and again, and the map was never changed again.

--- a/src/groupswitch.cpp
+++ b/src/groupswitch.cpp
@@ -120,6 +120,12 @@
 }
 
 void advance_arming(group_coordinator& coordinator, time_point now, group_actions& actions) {
+    if (own_status(coordinator)->pass >= coordinator.pass) {
+        // Another agent found the group standing still, armed the ranks and released the pass.
+        ++coordinator.completed;
+        enter(coordinator, switch_stage::idle, now);
+        return;
+    }
     bool all = all_known(coordinator);
     bool const resend = now >= coordinator.resend_at;
     for (auto const& [rank, known] : coordinator.ranks) {
--- a/tests/gateway_switch_test.cpp
+++ b/tests/gateway_switch_test.cpp
@@ -317,6 +317,11 @@
         here.run(milliseconds{20'000});
         REQUIRE_FALSE(here.split);
         REQUIRE(here.now - here.stuck_since < milliseconds{3'000});
+        // And its map can still be changed.
+        auto const completed = here.agents[0].coordinator->completed;
+        here.run(milliseconds{10'000});
+        REQUIRE_FALSE(here.split);
+        REQUIRE(here.agents[0].coordinator->completed > completed);
         changes += here.changes;
         completions += here.completions;
     }
@@ -348,6 +353,32 @@
     CHECK(here.completions == 0);
 }
 
+// Guards against a coordinator that waits for ever for ranks to arm for a pass that another agent
+// has released meanwhile. Seen on the large site: a group kept its map for the rest of the day.
+TEST_CASE("a coordinator goes on when another agent has completed its change") {
+    world here{1};
+    here.faults = false;
+    auto& coordinator = *here.agents[0].coordinator;
+    auto const arming = [&] { return coordinator.stage == switch_stage::arming; };
+    while (!arming() && here.now < at_ms(10'000)) {
+        here.run(tick);
+    }
+    REQUIRE(arming());
+    for (unsigned rank = 0; rank < ranks; ++rank) {
+        here.carry_out(rank, {order_kind::arm, here.epoch, coordinator.version, coordinator.pass});
+    }
+    here.carry_out(0, {order_kind::release, here.epoch, 0, coordinator.pass});
+    here.pass_due = here.now;
+    while (here.pass < coordinator.pass) {
+        here.begin_passes();
+        here.pass_due = here.now;
+    }
+    auto const completed = coordinator.completed;
+    here.run(milliseconds{5'000});
+    CHECK_FALSE(here.split);
+    CHECK(coordinator.completed > completed + 1);
+}
+
 // The check itself must be able to fail: an early release splits a pass.
 TEST_CASE("a release before all ranks are armed is found") {
     world here{3};
