Keep the coordinator's address while no registrar lists it

Cause, found on reading: after all registrars have restarted their lists are empty for a beat or two, and ranks sent no status meanwhile. Not measured by itself. tests/gateway_directory_test.cpp "an agent keeps its coordinator while no registrar lists it".

--- a/src/directorysync.cpp
+++ b/src/directorysync.cpp
@@ -184,6 +184,19 @@
     return listed;
 }
 
+void note_coordinator_address(coordinator_contact& known, directory_subscriber const& subscriber,
+                              time_point now) {
+    auto const& group = subscriber.self.group;
+    if (known.group != group) {
+        known = {group, {}};
+    }
+    for (auto const& [address, entry] : listed_daemons(subscriber, daemon_role::rank_agent, now)) {
+        if (entry.group == group && entry.rank == 0) {
+            known.address = address;
+        }
+    }
+}
+
 std::map<std::string, daemon_entry> relayed_daemons(directory_subscriber const& subscriber,
                                                     time_point now) {
     std::map<std::string, daemon_entry> listed;
--- a/src/directorysync.h
+++ b/src/directorysync.h
@@ -161,6 +161,21 @@
 std::map<std::string, daemon_entry> listed_daemons(directory_subscriber const& subscriber,
                                                    daemon_role role, time_point now);
 
+/// Where a rank agent found its group's coordinator last.
+struct coordinator_contact {
+    std::string group;
+    std::string address; ///< empty: never found
+};
+
+/// Looks the coordinator of the own group up: the agent of rank 0. While no registrar lists it, as
+/// when all of them have restarted, the last one found stays; one that is no coordinator any more
+/// drops what it is sent.
+/// @param known updated
+/// @param subscriber the subscriber of a rank agent
+/// @param now the time
+void note_coordinator_address(coordinator_contact& known, directory_subscriber const& subscriber,
+                              time_point now);
+
 /// Every process that some believed registrar hears itself, for a registrar's own list.
 /// @param subscriber the registrar's subscription to the others
 /// @param now the time
--- a/src/rankagent.h
+++ b/src/rankagent.h
@@ -77,6 +77,8 @@
     bool counting{false};
     bool listing{false};
 
+    coordinator_contact known_coordinator;
+
     // Completing a change that its coordinator does not complete.
     std::map<unsigned, std::string> engines; ///< addresses of the group's engines by rank
     std::string engines_group;
--- a/src/rankswitch.cpp
+++ b/src/rankswitch.cpp
@@ -90,18 +90,13 @@
 }
 
 // The agent of rank 0 in the same group.
-std::string coordinator_address(rank_agent const& agent) {
+std::string coordinator_address(rank_agent& agent) {
     auto const& self = agent.subscriber.self;
     if (self.rank == 0) {
         return self.address;
     }
-    for (auto const& [address, entry] :
-         listed_daemons(agent.subscriber, daemon_role::rank_agent, loop_now(agent.loop))) {
-        if (entry.group == self.group && entry.rank == 0) {
-            return address;
-        }
-    }
-    return {};
+    note_coordinator_address(agent.known_coordinator, agent.subscriber, loop_now(agent.loop));
+    return agent.known_coordinator.address;
 }
 
 rank_status make_status(rank_agent& agent) {
--- a/tests/gateway_directory_test.cpp
+++ b/tests/gateway_directory_test.cpp
@@ -218,6 +218,25 @@
     CHECK(listed_daemons(subscriber, daemon_role::rank_agent, at_ms(1'000)).contains("a:0"));
 }
 
+// Guards against ranks that keep their status to themselves while the registrars start again.
+TEST_CASE("an agent keeps its coordinator while no registrar lists it") {
+    directory_subscriber subscriber;
+    subscriber.self = {"a1:1", daemon_role::rank_agent, "z", "c1", true, "", 1, "group", 1};
+    auto& registrar = subscriber.registrars["r:1"];
+    registrar.heard_at = at_ms(100);
+    registrar.daemons["a0:1"] = {"a0:1", daemon_role::rank_agent, "z", "c0", true, "", 1, "group",
+                                 0};
+    coordinator_contact known;
+    note_coordinator_address(known, subscriber, at_ms(200));
+    CHECK(known.address == "a0:1");
+    registrar.daemons.clear(); // it has started again
+    note_coordinator_address(known, subscriber, at_ms(300));
+    CHECK(known.address == "a0:1");
+    subscriber.self.group = "other";
+    note_coordinator_address(known, subscriber, at_ms(400));
+    CHECK(known.address.empty());
+}
+
 TEST_CASE("the newest edition of a process's entry is listed") {
     directory_publisher publisher;
     publisher.address = "r:1";
