Plan large groups to the end

Cause: a copy had to lower its set's smooth maximum by a hundredth. Relieving one of many equally loaded ranks lowers it by 1 / (8 * ranks), so plans for 96 ranks ended at a most loaded rank of 1.5 times the mean, whatever copies were left, and a pass at the crest took longer than callers accept after each shift of demand.

Change: the least gain of a copy follows from the ranks (groupbudget); groups up to 32 ranks keep theirs. Large groups change maps for a gain of 0.2 instead of 0.1. Tried and left out: exchanges of two experts (1.52, no gain at twice the time).

--- a/src/expertplace.cpp
+++ b/src/expertplace.cpp
@@ -11,8 +11,10 @@
 
 // A smooth maximum: several ranks may be equally loaded, and relieving one of them must count.
 constexpr int norm_power = 8;
-// A copy must lower its set's smooth maximum by this part at least.
-constexpr double least_gain = 0.01;
+// Ranks that a copy is tried on: the least loaded ones.
+constexpr std::size_t tried_ranks = 8;
+// A move changes the load of the ranks that hold its two experts.
+constexpr std::size_t usual_changes = 16;
 
 // One set of a group: which ranks hold which experts, and the load that follows.
 struct set_state {
@@ -74,7 +76,9 @@
 // Loads of a few ranks that a move changes, and the power sum that follows.
 class load_changes {
 public:
-    explicit load_changes(set_state const& set) : set_{&set}, power_sum_{set.power_sum} {}
+    explicit load_changes(set_state const& set) : set_{&set}, power_sum_{set.power_sum} {
+        changed_.reserve(usual_changes);
+    }
 
     void add(unsigned rank, double change) {
         auto found = std::find_if(changed_.begin(), changed_.end(),
@@ -141,14 +145,28 @@
                                  set.load.begin());
 }
 
+std::vector<unsigned> coolest_ranks(set_state const& set) {
+    std::vector<unsigned> ranks(set.load.size());
+    std::iota(ranks.begin(), ranks.end(), 0U);
+    auto const cooler = [&](unsigned left, unsigned right) {
+        return set.load[left] < set.load[right];
+    };
+    auto const tried = std::min(tried_ranks, ranks.size());
+    std::partial_sort(ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(tried),
+                      ranks.end(), cooler);
+    ranks.resize(tried);
+    return ranks;
+}
+
 std::optional<place_move> best_move(set_state const& set, place_limits const& limits,
                                     std::vector<unsigned> const& rank_copies) {
     auto const hot = hottest_rank(set);
     std::optional<place_move> best;
     // Compared as powers, so that no root is taken for each move.
-    double const enough = set.power_sum * std::pow(1.0 - least_gain, norm_power);
+    double const enough = set.power_sum * std::pow(1.0 - limits.least_gain, norm_power);
+    auto const cool = coolest_ranks(set);
     for (auto const expert : set.holds[hot]) {
-        for (unsigned to = 0; to < set.holds.size(); ++to) {
+        for (auto const to : cool) {
             bool const room_to_add =
                 set.added[to] < limits.spare && rank_copies[to] < limits.copies_a_rank;
             if (to == hot || !room_to_add || set.load[to] >= set.load[hot] ||
--- a/src/expertplace.h
+++ b/src/expertplace.h
@@ -21,6 +21,7 @@
     unsigned spare{0};         ///< experts in a set that one change may add to a rank
     unsigned copies_a_rank{0}; ///< experts that one change may add to a rank over all sets; each
                                ///< copy takes link time, and the change waits for the last
+    double least_gain{0.01}; ///< part by which a copy must lower its set's smooth maximum of loads
 };
 
 /// A plan.
--- a/src/groupbudget.cpp
+++ b/src/groupbudget.cpp
@@ -33,6 +33,17 @@
 constexpr milliseconds least_arm_resend{40};
 constexpr std::chrono::microseconds arm_resend_a_rank{1'200};
 
+// Relieving one of many equally loaded ranks lowers their smooth maximum by a part that falls with
+// their number, so in large groups a fixed part would end a plan far from balance.
+constexpr double small_copy_gain = 0.01;
+constexpr double large_copy_gain_by_ranks = 0.16;
+// Copies are priced, and passes take longer meanwhile. Finer plans find something to gain in the
+// noise of the counts, so large groups ask for more.
+constexpr double small_change_gain = 0.10;
+constexpr double large_change_gain = 0.20;
+// While passes are short, imbalance delays nobody.
+constexpr double change_gain_at_ease = 0.25;
+
 // Copying of one change: a fraction of the seconds for which demand stays as it is.
 constexpr milliseconds few_copies_time{80};
 constexpr milliseconds many_copies_time{160};
@@ -75,6 +86,9 @@
     budget.status_life = large ? large_status_life : small_status_life;
     budget.prepare_resend = large ? large_prepare_resend : small_prepare_resend;
     budget.arm_resend = std::max<duration>(least_arm_resend, arm_resend_a_rank * shape.ranks);
+    budget.copy_gain = large ? large_copy_gain_by_ranks / shape.ranks : small_copy_gain;
+    budget.change_gain =
+        at_ease ? change_gain_at_ease : (large ? large_change_gain : small_change_gain);
     // About as many relays as ranks behind each, so that both steps take as long.
     for (unsigned relays = 1; large && relays * relays < shape.ranks; ++relays) {
         budget.hand_on = relays;
--- a/src/groupbudget.h
+++ b/src/groupbudget.h
@@ -27,6 +27,8 @@
     duration prepare_resend{}; ///< to ranks that have not prepared
     duration arm_resend{};     ///< to ranks that are not armed
     unsigned hand_on{0};       ///< instructions to prepare that one rank hands on; 0: none
+    double copy_gain{0};       ///< part by which a copy must lower its set's smooth maximum
+    double change_gain{0};     ///< part of the mean by which a change must lower the highest load
 };
 
 /// Derives the messages of a group.
--- a/src/rankswitch.cpp
+++ b/src/rankswitch.cpp
@@ -29,10 +29,6 @@
 constexpr double carried_on = 1.0;
 // Pause between the end of one change and the next plan.
 constexpr std::chrono::milliseconds plan_pause{100};
-// A change must lower the most loaded rank by this part of the mean; copies are priced.
-constexpr double least_gain = 0.10;
-// While passes are short, imbalance delays nobody.
-constexpr double least_gain_at_ease = 0.25;
 constexpr std::chrono::milliseconds pass_sample{150};
 constexpr double pass_weight = 0.5; // of the newest sample
 constexpr double great_skew = 2.2;
@@ -301,10 +297,11 @@
         sudden ? extrapolate_demand(agent.fresh_demand.demand, steady, carried_on) : steady;
     auto const limits = copies_for(*agent.traits);
     auto const copies = place_skew(present, demand) > great_skew ? limits.many : limits.few;
-    auto const planned =
-        plan_places(present, demand, {agent.traits->places, agent.traits->spare, copies});
-    double const needed = agent.pass_time < easy_pass ? least_gain_at_ease : least_gain;
-    bool const worth_it = planned.copies > 0 && planned.before - planned.after >= needed;
+    auto const budget = group_budget_of(agent);
+    auto const planned = plan_places(
+        present, demand, {agent.traits->places, agent.traits->spare, copies, budget.copy_gain});
+    bool const worth_it =
+        planned.copies > 0 && planned.before - planned.after >= budget.change_gain;
     if (!worth_it) {
         return;
     }
--- a/tests/gateway_place_test.cpp
+++ b/tests/gateway_place_test.cpp
@@ -1,5 +1,6 @@
 // Plans of expert places: what a plan may do, and how near it comes to balance.
 #include "expertplace.h"
+#include "groupbudget.h"
 #include "rng.h"
 
 #include <doctest/doctest.h>
@@ -14,14 +15,14 @@
 
 namespace {
 
-struct group_shape {
+struct place_shape {
     unsigned ranks{8};
     unsigned sets{6};
     unsigned experts{64};
     place_limits limits{11, 4, 4};
 };
 
-group_experts first_map(group_shape const& shape) {
+group_experts first_map(place_shape const& shape) {
     group_experts map(shape.ranks, rank_experts(shape.sets));
     for (unsigned set = 0; set < shape.sets; ++set) {
         for (unsigned expert = 0; expert < shape.experts; ++expert) {
@@ -32,7 +33,7 @@
 }
 
 // A few experts get most of the tokens; which ones differs by set.
-expert_demand skewed_demand(group_shape const& shape, rng& random) {
+expert_demand skewed_demand(place_shape const& shape, rng& random) {
     expert_demand demand(shape.sets, std::vector<double>(shape.experts));
     for (auto& set : demand) {
         for (double& one : set) {
@@ -42,7 +43,7 @@
     return demand;
 }
 
-void check_plan(group_shape const& shape, group_experts const& before, place_plan const& plan) {
+void check_plan(place_shape const& shape, group_experts const& before, place_plan const& plan) {
     unsigned copies = 0;
     for (unsigned set = 0; set < shape.sets; ++set) {
         std::set<unsigned> held;
@@ -70,7 +71,7 @@
     rng random{7};
     for (int round = 0; round < 60; ++round) {
         CAPTURE(round);
-        group_shape shape;
+        place_shape shape;
         shape.limits.copies_a_rank = 1 + static_cast<unsigned>(next_below(random, 6));
         auto map = first_map(shape);
         for (int change = 0; change < 4; ++change) {
@@ -87,7 +88,7 @@
 // Against the static map, which is the naive way.
 TEST_CASE("a few changes bring a skewed group near balance") {
     rng random{11};
-    group_shape shape;
+    place_shape shape;
     double naive = 0;
     double planned = 0;
     constexpr int rounds = 20;
@@ -105,7 +106,7 @@
 }
 
 TEST_CASE("a balanced group and a group without demand are left alone") {
-    group_shape shape;
+    place_shape shape;
     auto const map = first_map(shape);
     expert_demand const even(shape.sets, std::vector<double>(shape.experts, 1.0));
     CHECK(plan_places(map, even, shape.limits).copies == 0);
@@ -140,9 +141,36 @@
     CHECK(extrapolate_demand(after, {{0, 0, 0, 0}}, 1.0) == after);
 }
 
+// Pattern: demand moves to other experts at the crest. A pass of a group of 96 with all slots taken
+// takes 87 ms in balance; 85 parts in 100 of it grow with the most loaded rank. With the 40 ms for
+// which arming may hold it, a pass stays within the 150 ms that callers accept up to this skew.
+TEST_CASE("one change after a shift brings a group of 96 back to passes that are short enough") {
+    constexpr double skew_limit = 1.32;
+    rng random{3};
+    auto const copy_gain = budget_for({96, std::size_t{16} * 192, 6}, false).copy_gain;
+    place_shape const shape{96, 16, 192, {3, 2, 8, copy_gain}};
+    auto map = first_map(shape);
+    for (int shift = 0; shift < 4; ++shift) {
+        expert_demand demand(shape.sets, std::vector<double>(shape.experts));
+        for (auto& set : demand) {
+            for (std::size_t place = 0; place < set.size(); ++place) {
+                set[place] = std::pow(1.0 + static_cast<double>(place), -0.53) + 0.02;
+            }
+            for (std::size_t left = set.size(); left > 1; --left) {
+                std::swap(set[left - 1], set[next_below(random, left)]);
+            }
+        }
+        CHECK(place_skew(map, demand) > 2.5);
+        auto const plan = plan_places(map, demand, shape.limits);
+        check_plan(shape, map, plan);
+        CHECK(plan.after < skew_limit);
+        map = plan.map;
+    }
+}
+
 TEST_CASE("a large group is planned as well") {
     rng random{5};
-    group_shape shape{32, 12, 128, {5, 2, 2}};
+    place_shape shape{32, 12, 128, {5, 2, 2}};
     auto map = first_map(shape);
     auto const demand = skewed_demand(shape, random);
     double const before = place_skew(map, demand);
