--- a/tests/http_mailbox_test.cpp
+++ b/tests/http_mailbox_test.cpp
@@ -26,7 +26,7 @@
 std::vector<std::string> addresses() {
     std::vector<std::string> made;
     for (int index = 0; index < peers; ++index) {
-        int const port = first_port + getpid() % port_range * peers + index;
+        int const port = first_port + (getpid() % port_range) * peers + index;
         made.push_back("127.0.0.1:" + std::to_string(port));
     }
     return made;
@@ -51,6 +51,7 @@
     }
     std::atomic<bool> closing{false};
     std::vector<std::thread> threads;
+    threads.reserve(boxes.size());
     for (auto const& box : boxes) {
         threads.emplace_back([&, box] {
             while (!closing) {
