Gateway: send nothing to targets that say they leave or ask for a pause

Callers could be sent to a target that had already said in a response that it is about to end, until its announcement arrived, and a target that refused with 503 and a time was asked again at once, as a last resort also when no other was left.

Every response is now read for both. A leaving target gets no further request in this incarnation, a paused one none until its time is over.

--- a/src/callmessage.h
+++ b/src/callmessage.h
@@ -57,6 +57,9 @@
     std::string target_id;        ///< of the target that responded; may be empty
     std::string faulty_target_id; ///< the target because of which its group refused the request
     std::optional<reported_load> load;
+    bool leaving{false}; ///< the target is about to end
+    /// With status 503: the target wants no request from this gateway for so long.
+    std::optional<std::chrono::milliseconds> retry_after;
 };
 
 } // namespace fireflycrank
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -379,9 +379,30 @@
         }
         response_ = std::move(answer);
         response_head_ = head;
+        apply_target_notices();
         return true;
     }
 
+    // Applies what every response may say about its target beside the result of the request.
+    void apply_target_notices() {
+        auto* const known = current_target();
+        if (known == nullptr) {
+            return;
+        }
+        if (response_->leaving && !known->leaving) {
+            known->leaving = true;
+            log_bounded(owner_.loop, events::target_leaving,
+                        {{"call", headers_.attempt_id}, {"target", target_id_}});
+        }
+        if (response_->status == unavailable && response_->retry_after) {
+            record_pause(*known, *response_->retry_after, loop_now(owner_.loop));
+            log_bounded(owner_.loop, events::target_paused,
+                        {{"call", headers_.attempt_id},
+                         {"target", target_id_},
+                         {"for_ms", in_millis(*response_->retry_after)}});
+        }
+    }
+
     [[nodiscard]] bool has_usable_response() const {
         bool const success = response_->status < first_error_status;
         return !success || (response_->signed_by_target && !response_->attempt_id.empty());
--- a/src/targetchoice.cpp
+++ b/src/targetchoice.cpp
@@ -94,8 +94,9 @@
             return entry.second.announcement.service == service && entry.second.group;
         });
     for (auto const& [id, view] : targets) {
-        if (view.announcement.service != service ||
-            view.announcement.state != target_phase::ready || !allows(filter, id)) {
+        bool const accepts = view.announcement.state == target_phase::ready && !view.leaving &&
+                             now >= view.pauses_until;
+        if (view.announcement.service != service || !accepts || !allows(filter, id)) {
             continue;
         }
         scored_target candidate{&view, health(view, service_has_groups, settings, now),
@@ -176,6 +177,10 @@
     view.backoff_until = now + std::min(interval, settings.max_backoff);
 }
 
+void record_pause(target_view& view, duration pause, time_point now) {
+    view.pauses_until = std::max(view.pauses_until, now + pause);
+}
+
 void record_error_response(target_view& view, choice_settings const& settings, time_point now) {
     constexpr unsigned max_doublings = 6;
     auto const interval =
--- a/src/targetchoice.h
+++ b/src/targetchoice.h
@@ -54,6 +54,8 @@
     unsigned consecutive_errors{0};
     time_point suspect_until{}; ///< other targets are preferred until then, less strongly
     bool responsive{true};      ///< false: it does not answer its agent
+    bool leaving{false};        ///< this incarnation said in a response that it is about to end
+    time_point pauses_until{};  ///< it asked this gateway to send nothing until then
 };
 
 /// Weights and times of choose_target().
@@ -119,6 +121,9 @@
 /// Records that a target failed to serve a request; it is avoided for a growing backoff.
 void record_failure(target_view& view, choice_settings const& settings, time_point now);
 
+/// Records that a target refused a request and asked this gateway to send nothing for a while.
+void record_pause(target_view& view, duration pause, time_point now);
+
 /// Records that a target ran a request and answered with an error.
 void record_error_response(target_view& view, choice_settings const& settings, time_point now);
 
