Gateway: admit streams to a group by the pauses that they cause

Cause: at each change of the demand for experts all running streams of the group pause until the expert map follows, and with all slots in use the pause is longer than callers accept. A limit for each gateway had not helped, since 37 gateways with reports 0.4 s old overran it by a third.

--- a/src/callqueue.cpp
+++ b/src/callqueue.cpp
@@ -9,6 +9,30 @@
 // A group that lost a target serves again within this time: detection of the stall, restart of the
 // target and forming of the group.
 constexpr std::chrono::seconds prolonged_after{6};
+// A late request gains nothing by a long wait here; its caller may return when there is more room.
+constexpr std::chrono::milliseconds max_late_wait{100};
+
+bool is_late(queued_call const& call, time_point now) {
+    return !call.resumed && call.send_by <= now;
+}
+
+bool goes_before(queued_call const& left, queued_call const& right, queue_order order,
+                 time_point now) {
+    if (left.resumed != right.resumed) {
+        return left.resumed;
+    }
+    bool const late = is_late(left, now);
+    if (late != is_late(right, now)) {
+        return !late;
+    }
+    if (late) {
+        return left.arrived < right.arrived;
+    }
+    if (order == queue_order::by_priority && left.priority != right.priority) {
+        return left.priority < right.priority;
+    }
+    return left.send_by < right.send_by;
+}
 
 } // namespace
 
@@ -29,19 +53,41 @@
 }
 
 std::optional<std::uint64_t> next_call(call_queue const& queue, std::string const& service,
-                                       time_point now) {
+                                       queue_order order, time_point now) {
     auto const found = queue.by_service.find(service);
     if (found == queue.by_service.end() || found->second.empty()) {
         return std::nullopt;
     }
-    queued_call const* most_urgent = nullptr;
-    for (auto const& call : found->second) {
-        bool const on_time = call.send_by > now;
-        if (on_time && (most_urgent == nullptr || call.send_by < most_urgent->send_by)) {
-            most_urgent = &call;
+    auto const first = std::min_element(found->second.begin(), found->second.end(),
+                                        [&](queued_call const& left, queued_call const& right) {
+                                            return goes_before(left, right, order, now);
+                                        });
+    return first->id;
+}
+
+std::vector<std::uint64_t> hopeless_calls(call_queue const& queue, std::string const& service,
+                                          queue_order order, duration slot_interval,
+                                          time_point now) {
+    std::vector<std::uint64_t> ids;
+    auto const found = queue.by_service.find(service);
+    if (found == queue.by_service.end()) {
+        return ids;
+    }
+    auto waiting = found->second;
+    std::sort(waiting.begin(), waiting.end(),
+              [&](queued_call const& left, queued_call const& right) {
+                  return goes_before(left, right, order, now);
+              });
+    auto sent_at = now;
+    for (auto const& call : waiting) {
+        auto const latest = is_late(call, now) ? call.arrived + max_late_wait : call.send_by;
+        if (!call.resumed && sent_at + slot_interval > latest) {
+            ids.push_back(call.id);
+        } else {
+            sent_at += slot_interval;
         }
     }
-    return most_urgent != nullptr ? most_urgent->id : found->second.front().id;
+    return ids;
 }
 
 std::vector<std::uint64_t> expired_calls(call_queue const& queue, time_point now) {
--- a/src/callqueue.h
+++ b/src/callqueue.h
@@ -21,6 +21,8 @@
     time_point arrived{};
     time_point send_by{};    ///< latest send time that still meets the latency objective
     time_point expires_at{}; ///< end of the wait for a slot
+    unsigned priority{0};    ///< 0 is the most urgent
+    bool resumed{false};     ///< a stream that was interrupted after its first event; goes first
 };
 
 /// Queued requests by service, in order of arrival.
@@ -33,11 +35,26 @@
 /// Removes a request if it is queued.
 void remove(call_queue& queue, std::string const& service, std::uint64_t id);
 
-/// Returns the request to send next: the one with the earliest `send_by` among those that can still
-/// meet their objective, otherwise the oldest one.
+/// Order in which requests are sent that can still meet their objective.
+enum class queue_order : std::uint8_t {
+    by_time,    ///< earliest `send_by` first
+    by_priority ///< most urgent first, then earliest `send_by`
+};
+
+/// Returns the request to send next: the first by the order among those that can still meet their
+/// objective, otherwise the oldest one.
 /// @return its id, or nothing if the queue is empty; the request stays queued
 std::optional<std::uint64_t> next_call(call_queue const& queue, std::string const& service,
-                                       time_point now);
+                                       queue_order order, time_point now);
+
+/// Returns the requests that would not be sent in time if slots become free at the given interval:
+/// those that would miss their objective, and late ones that would wait for longer than a late
+/// request should.
+/// @param slot_interval mean time between two slots that become free for this gateway
+/// @return their ids; they stay queued
+std::vector<std::uint64_t> hopeless_calls(call_queue const& queue, std::string const& service,
+                                          queue_order order, duration slot_interval,
+                                          time_point now);
 
 /// Returns the ids of requests whose `expires_at` has passed; they stay queued.
 std::vector<std::uint64_t> expired_calls(call_queue const& queue, time_point now);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -83,6 +83,7 @@
                  {"from", from},
                  {"routes", decoded.value().routes.size()}});
     owner.config = std::make_shared<service_config const>(std::move(decoded).value());
+    owner.pass_needs = pass_requirements_of(*owner.config);
 }
 
 void confirm_config(gateway& owner) {
@@ -299,6 +300,7 @@
     auto& owner = daemon.state;
     owner.settings.seeds = new_settings.value().seeds;
     owner.settings.bounds = new_settings.value().bounds;
+    owner.settings.policies = new_settings.value().policies;
     configure_registrars(owner.subscriber, seed_peers(owner.settings), loop_now(owner.loop));
     log_event(events::settings_reloaded, {{"seeds", owner.settings.seeds.size()}});
 }
@@ -378,6 +380,7 @@
 void start_periodic_work(gateway_daemon& daemon) {
     auto& owner = daemon.state;
     run_every(owner.loop, sweep_period, [&daemon, &owner] {
+        update_groups(owner);
         sweep_calls(owner);
         owner.pool.expire_connections();
         return check_stop(daemon);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -16,8 +16,10 @@
 #include "peerlink.h"
 #include "retrylimits.h"
 #include "retrypolicy.h"
+#include "returnplan.h"
 #include "rng.h"
 #include "serviceconfig.h"
+#include "streamadmission.h"
 #include "targetchoice.h"
 #include "targetpool.h"
 #include "vmsettings.h"
@@ -66,8 +68,12 @@
     time_point started_at{};
 
     std::set<std::shared_ptr<gateway_call>> calls;
-    std::map<std::string, service_outage> outages; ///< by service
-    call_queue queue;                              ///< calls that wait for a slot at a target
+    std::map<std::string, service_outage> outages;       ///< by service
+    std::map<std::string, group_admission> groups;       ///< by name of the group
+    std::map<std::string, pass_requirements> pass_needs; ///< by service
+    std::map<std::string, slot_flow> slot_flows;         ///< by service
+    std::map<std::string, return_plan> return_plans;     ///< by service
+    call_queue queue;                                    ///< calls that wait for a slot at a target
     std::map<std::uint64_t, std::shared_ptr<gateway_call>> queued_calls; ///< by id in `queue`
     std::uint64_t last_queue_id{0};
     bool admission_posted{false}; ///< admit_calls() is posted to the event loop
@@ -86,10 +92,17 @@
 /// Sends queued calls for which there is a free slot now.
 void admit_calls(gateway& owner);
 
+/// Refuses queued streams of a service that could not begin in time.
+void refuse_hopeless_calls(gateway& owner, std::string const& service);
+
 /// Ends the outages of services that have a usable target again. Needed because nothing else
 /// notices when no requests arrive for such a service.
 void refresh_outages(gateway& owner);
 
+/// Recalculates how many streams this gateway may start in each group. To be called together with
+/// sweep_calls().
+void update_groups(gateway& owner);
+
 /// Ends calls whose time is over. To be called about every 50 ms.
 void sweep_calls(gateway& owner);
 
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -159,6 +159,12 @@
         return true;
     }
 
+    // Refuses a queued call that could not begin in time.
+    void refuse_hopeless() {
+        leave_queue();
+        give_up("no_slot_in_time");
+    }
+
     void on_queue_timeout() {
         auto const choice = choose();
         leave_queue();
@@ -198,6 +204,7 @@
         progress_.resumable = route.resumable;
         progress_.max_attempts = route.max_attempts;
         priority_ = std::min(priority_.value_or(route.priority), lowest_priority);
+        route_priority_ = std::min(route.priority, lowest_priority);
         route_timeout_ = route.timeout;
         latency_objective_ = route.target_latency;
         service_ = pick_service(route, next_unit(owner_.random));
@@ -242,7 +249,12 @@
             filter.only = tried_targets_;
         }
         auto const followed = owner_.followed.find(service_);
-        filter.subset = followed == owner_.followed.end() ? nullptr : &followed->second;
+        bool const prefers =
+            owner_.settings.policies.follow_subset && followed != owner_.followed.end();
+        filter.subset = prefers ? &followed->second : nullptr;
+        if (progress_.kind == call_kind::stream && owner_.settings.policies.limit_streams) {
+            filter.full_groups = full_groups();
+        }
         return choose_target(owner_.targets, service_, owner_.settings.zone, filter,
                              owner_.target_selection, owner_.random, loop_now(owner_.loop));
     }
@@ -252,7 +264,38 @@
         need.stream = progress_.kind == call_kind::stream;
         need.resumed = progress_.answer_started;
         need.slack = latest_send_time() - loop_now(owner_.loop);
-        return fireflycrank::has_capacity(choice, need);
+        need.reserve = owner_.settings.policies.reserve_slots;
+        return fireflycrank::has_capacity(choice, need) && !(need.stream && is_held(choice));
+    }
+
+    [[nodiscard]] admission_request admission_need() const {
+        return {progress_.answer_started, latest_send_time() - loop_now(owner_.loop)};
+    }
+
+    // State of the group that the request was sent to; empty if it has none.
+    [[nodiscard]] group_admission const& group_state() const {
+        static group_admission const none;
+        auto const group = owner_.groups.find(group_name_);
+        return group == owner_.groups.end() ? none : group->second;
+    }
+
+    [[nodiscard]] std::vector<std::string> full_groups() const {
+        std::vector<std::string> names;
+        for (auto const& [name, group] : owner_.groups) {
+            if (is_full(group, admission_need())) {
+                names.push_back(name);
+            }
+        }
+        return names;
+    }
+
+    // Whether the passes of the chosen target's group are too long for another prompt.
+    [[nodiscard]] bool is_held(target_choice const& choice) const {
+        auto const group = owner_.groups.find(choice.group);
+        auto const needs = owner_.pass_needs.find(service_);
+        return owner_.settings.policies.hold_long_passes && group != owner_.groups.end() &&
+               needs != owner_.pass_needs.end() &&
+               should_hold(group->second, admission_need(), needs->second, loop_now(owner_.loop));
     }
 
     // Latest time to send a stream so that its first event can still meet the objective.
@@ -281,6 +324,9 @@
             return;
         }
         join_queue();
+        if (stream && choice.healthy) {
+            refuse_hopeless_calls(owner_, service_);
+        }
     }
 
     void join_queue() {
@@ -294,6 +340,9 @@
         entry.arrived = request_.first_byte_at;
         entry.send_by = progress_.answer_started ? now + resume_send_limit : latest_send_time();
         entry.expires_at = std::max(request_.first_byte_at, sent_at_) + limit;
+        entry.priority =
+            priority_.value_or(lowest_priority) * (lowest_priority + 1) + route_priority_;
+        entry.resumed = progress_.answer_started;
         if (entry.expires_at <= now) {
             give_up("no_room");
             return;
@@ -321,6 +370,10 @@
         auto& chosen = owner_.targets.at(target_id_);
         ++chosen.own_in_flight;
         holds_slot_ = true;
+        group_name_ = chosen.group ? chosen.group->name : std::string{};
+        if (auto const group = owner_.groups.find(group_name_); group != owner_.groups.end()) {
+            ++group->second.streams.own;
+        }
         sent_at_ = now;
         response_.reset();
         response_body_.clear();
@@ -336,6 +389,12 @@
                      {"report_age_ms", in_millis(choice.report_age)},
                      {"candidates", choice.candidates},
                      {"suspect", choice.suspect},
+                     {"priority", priority_.value_or(lowest_priority)},
+                     {"route_priority", route_priority_},
+                     {"group_own", group_state().streams.own},
+                     {"group_own_limit", group_state().own_limit},
+                     {"group_running", group_state().streams.running},
+                     {"group_limit", group_state().limit},
                      {"waited_ms", in_millis(now - request_.first_byte_at)},
                      {"left_ms", time_left().count()}});
         exchange_ = owner_.pool.start(make_target_request(chosen), exchange_handlers());
@@ -459,10 +518,23 @@
             longest_pause_ = now - last_event_at_;
             longest_pause_at_ = last_event_at_;
         }
+        if (passed_event_from_ == target_id_) {
+            record_group_pass(now - last_event_at_, now);
+        }
+        passed_event_from_ = target_id_;
         last_event_at_ = now;
         writer_->write(events);
     }
 
+    void record_group_pass(duration pass, time_point now) {
+        auto const group = owner_.groups.find(group_name_);
+        if (group != owner_.groups.end() && group->second.streams.ranks > 0) {
+            auto const& streams = group->second.streams;
+            record_pass(group->second.passes, pass,
+                        {streams.running / streams.ranks, streams.slowdown}, now);
+        }
+    }
+
     void release_slot() {
         if (!holds_slot_) {
             return;
@@ -471,6 +543,10 @@
         if (auto* const known = current_target()) {
             known->own_in_flight -= known->own_in_flight > 0 ? 1 : 0;
         }
+        if (auto const group = owner_.groups.find(group_name_); group != owner_.groups.end()) {
+            group->second.streams.own -= group->second.streams.own > 0 ? 1 : 0;
+        }
+        record_free_slot(owner_.slot_flows[service_], loop_now(owner_.loop));
         post_admission();
     }
 
@@ -544,12 +620,13 @@
         record_finished(owner_.crashes, fingerprint_, loop_now(owner_.loop));
         bool const bad =
             response_->status >= first_server_error && response_->status != gateway_timeout;
-        bad ? mark_target_suspect() : mark_target_good();
+        bad&& owner_.settings.policies.avoid_failing ? mark_target_suspect() : mark_target_good();
         if (retrying_failure_) {
             record_retry_result(owner_.failure_retries[service_], !bad);
             retrying_failure_ = false;
         }
-        if (bad && !progress_.answer_started && is_retry_safe(progress_) &&
+        if (bad && owner_.settings.policies.retry_failed && !progress_.answer_started &&
+            is_retry_safe(progress_) &&
             should_retry_failure(owner_.failure_retries[service_], owner_.random)) {
             finish_attempt(attempt_result::failed);
             return;
@@ -694,6 +771,14 @@
             respond(unavailable, reason, quarantine_left_); // exact, so it needs no jitter
             return;
         }
+        if (owner_.settings.policies.spread_returns && reason == "no_slot_in_time") {
+            auto const now = loop_now(owner_.loop);
+            respond(unavailable, reason,
+                    plan_return(owner_.return_plans[service_],
+                                free_slot_interval(owner_.slot_flows[service_], now),
+                                deadline_ - now, owner_.random, now));
+            return;
+        }
         refuse(reason, reason == "refused" ? short_retry_after : long_retry_after);
     }
 
@@ -797,6 +882,7 @@
     /// Set when the request is quarantined.
     std::optional<std::chrono::milliseconds> quarantine_left_;
     std::optional<unsigned> priority_;
+    unsigned route_priority_{lowest_priority};
     std::uint64_t version_{0};
     std::chrono::milliseconds route_timeout_{0};
     std::chrono::milliseconds latency_objective_{0};
@@ -812,6 +898,8 @@
     std::vector<std::string> excluded_;      ///< those of them that must not be tried again
     unsigned sends_{0};
     std::string target_id_;
+    std::string group_name_;        ///< of the target; empty if it has none
+    std::string passed_event_from_; ///< target of the last forwarded event
     bool holds_slot_{false};
     bool ended_{false};
     std::uint64_t queue_id_{0};
@@ -845,6 +933,22 @@
     }
 }
 
+namespace {
+
+// Whether new streams of a service can only begin when running ones end.
+bool slots_are_short(gateway const& owner, std::string const& service) {
+    return std::all_of(owner.groups.begin(), owner.groups.end(), [&](auto const& entry) {
+        return entry.second.service != service || is_busy(entry.second);
+    });
+}
+
+queue_order order_of(gateway const& owner) {
+    return owner.settings.policies.order_by_priority ? queue_order::by_priority
+                                                     : queue_order::by_time;
+}
+
+} // namespace
+
 void admit_calls(gateway& owner) {
     std::vector<std::string> services;
     for (auto const& [service, waiting] : owner.queue.by_service) {
@@ -852,7 +956,7 @@
     }
     auto const now = loop_now(owner.loop);
     for (auto const& service : services) {
-        while (auto const id = next_call(owner.queue, service, now)) {
+        while (auto const id = next_call(owner.queue, service, order_of(owner), now)) {
             auto const call = owner.queued_calls.at(*id);
             if (!call->try_admit()) {
                 break;
@@ -861,6 +965,56 @@
     }
 }
 
+void refuse_hopeless_calls(gateway& owner, std::string const& service) {
+    auto const now = loop_now(owner.loop);
+    auto const interval = free_slot_interval(owner.slot_flows[service], now);
+    if (!owner.settings.policies.refuse_hopeless || interval <= duration::zero() ||
+        !owner.pass_needs.contains(service) || !slots_are_short(owner, service)) {
+        return;
+    }
+    for (auto const id : hopeless_calls(owner.queue, service, order_of(owner), interval, now)) {
+        auto const call = owner.queued_calls.at(id);
+        call->refuse_hopeless();
+    }
+}
+
+void update_groups(gateway& owner) {
+    auto const now = loop_now(owner.loop);
+    struct sample {
+        group_streams streams;
+        unsigned reporting{0};
+        std::string service;
+    };
+    std::map<std::string, sample> samples;
+    for (auto const& [id, view] : owner.targets) {
+        bool const usable = view.group && view.announcement.state != target_phase::departed;
+        if (!usable) {
+            continue;
+        }
+        auto& [streams, reporting, service] = samples[view.group->name];
+        service = view.announcement.service;
+        ++streams.ranks;
+        streams.own += view.own_in_flight;
+        if (view.load && now - view.load->sampled_at < owner.target_selection.report_ttl) {
+            ++reporting;
+            streams.running += estimated_load(view, owner.target_selection, now);
+            streams.slowdown = std::max(streams.slowdown, view.load->slowdown);
+        }
+    }
+    std::erase_if(owner.groups, [&](auto const& entry) { return !samples.contains(entry.first); });
+    for (auto& [name, sample] : samples) {
+        auto const needs = owner.pass_needs.find(sample.service);
+        if (needs == owner.pass_needs.end() || sample.reporting == 0) {
+            owner.groups.erase(name);
+            continue;
+        }
+        sample.streams.running *= static_cast<double>(sample.streams.ranks) / sample.reporting;
+        owner.groups[name].service = sample.service;
+        update_limits(owner.groups[name], sample.streams, needs->second,
+                      static_cast<unsigned>(owner.retry_share.gateways), now);
+    }
+}
+
 void refuse_quarantined_calls(gateway& owner) {
     auto const waiting = owner.queued_calls;
     for (auto const& [id, call] : waiting) {
@@ -871,6 +1025,11 @@
 void sweep_calls(gateway& owner) {
     auto const now = loop_now(owner.loop);
     admit_calls(owner);
+    for (auto const& [service, needs] : owner.pass_needs) {
+        if (queued_call_count(owner.queue, service) > 0) {
+            refuse_hopeless_calls(owner, service);
+        }
+    }
     for (auto const id : expired_calls(owner.queue, now)) {
         auto const waiting = owner.queued_calls.find(id);
         if (waiting != owner.queued_calls.end()) {
--- a/src/rankagent.cpp
+++ b/src/rankagent.cpp
@@ -210,6 +210,7 @@
         return;
     }
     agent.settings.seeds = fresh.value().seeds;
+    agent.settings.policies = fresh.value().policies;
     configure_registrars(agent.subscriber, seed_peers(agent.settings), loop_now(agent.loop));
     log_event(events::settings_reloaded, {{"seeds", agent.settings.seeds.size()}});
 }
--- a/src/rankagentswitch.cpp
+++ b/src/rankagentswitch.cpp
@@ -298,7 +298,7 @@
     if (!is_complete(current, agent.long_term_demand.demand)) {
         return;
     }
-    bool const sudden = changed_suddenly(agent, current);
+    bool const sudden = agent.settings.policies.plan_early && changed_suddenly(agent, current);
     auto const& long_term = agent.long_term_demand.demand;
     auto const demand =
         sudden ? extrapolate_demand(agent.short_term_demand.demand, long_term, extrapolation_factor)
--- /dev/null
+++ b/src/streamadmission.cpp
@@ -0,0 +1,89 @@
+#include "streamadmission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fireflycrank {
+
+namespace {
+
+// Load reports are this old on average: sampling at the target, report period, transfer.
+constexpr std::chrono::duration<double> report_age{0.4};
+// Weight of this gateway's newest streams in the estimate for all gateways. Their numbers are small
+// and vary by chance.
+constexpr double certainty = 0.5;
+// While a group is filled less than this, a gateway may exceed its part by its share of the rest.
+constexpr double filled_share = 0.85;
+// Below this share of the limit, the limit is not the reason for unused slots.
+constexpr double busy_share = 0.7;
+// Late requests take places only below this share of the limit, so that the next request that can
+// still be on time finds one.
+constexpr double late_share = 0.7;
+// Passes longer than this share of the pause target are too long for further prompts.
+constexpr double hold_share = 0.7;
+// A stream is held until this long before its latest send time.
+constexpr std::chrono::milliseconds min_hold_slack{40};
+
+// Gateways reach their limits at different moments, so a group would stay below its limit if each
+// kept its part exactly.
+void adjust_gain(group_admission& group, double unused_share,
+                 std::chrono::duration<double> elapsed) {
+    constexpr double max_gain = 1.3;
+    constexpr double min_gain = 0.8;
+    // Slow compared with the age of the reports, so that the number of streams does not oscillate.
+    constexpr double gain_per_second = 0.3;
+    if (unused_share > 1.0 - busy_share) {
+        return;
+    }
+    double const step = gain_per_second * unused_share * std::min(1.0, elapsed.count());
+    group.gain = std::clamp(group.gain + step, min_gain, max_gain);
+}
+
+} // namespace
+
+void update_limits(group_admission& group, group_streams const& streams,
+                   pass_requirements const& requirements, unsigned gateways, time_point now) {
+    auto const elapsed = std::chrono::duration<double>{now - group.updated_at};
+    double const newest_weight = 1.0 - std::exp(-elapsed / report_age);
+    group.usual_own += newest_weight * (streams.own - group.usual_own);
+    group.updated_at = now;
+    group.streams = streams;
+    group.limit =
+        streams.ranks * sustainable_streams(group.passes, requirements, streams.slowdown, now);
+    double const equal_part = group.limit / std::max(1U, gateways);
+    // What this gateway has started since the reports, others are likely to have started as well.
+    double const started_since = gateways * (streams.own - group.usual_own);
+    double const running = std::max(1.0, streams.running + certainty * started_since);
+    // Gateways above the equal part shrink and grow in proportion, so that together they approach
+    // the limit.
+    double const proportional_part = group.usual_own * group.limit / running;
+    double const spare =
+        std::max(0.0, filled_share * group.limit - running) / std::max(1U, gateways);
+    adjust_gain(group, (group.limit - running) / group.limit, elapsed);
+    group.own_limit = group.gain * std::max(equal_part, proportional_part) + spare;
+}
+
+bool is_busy(group_admission const& group) {
+    return group.streams.running > busy_share * group.limit;
+}
+
+bool is_full(group_admission const& group, admission_request const& request) {
+    if (request.resumed || group.limit <= 0) {
+        return false;
+    }
+    constexpr double rounding = 0.5;
+    bool const late = request.slack < duration::zero();
+    double const allowed = late ? late_share * group.own_limit : group.own_limit;
+    return group.streams.own + rounding > allowed;
+}
+
+bool should_hold(group_admission const& group, admission_request const& request,
+                 pass_requirements const& requirements, time_point now) {
+    bool const tight = request.slack >= duration::zero() && request.slack < min_hold_slack;
+    if (request.resumed || tight || requirements.pause_target <= double_milliseconds{0}) {
+        return false;
+    }
+    return recent_pass(group.passes, now) > hold_share * requirements.pause_target;
+}
+
+} // namespace fireflycrank
--- a/src/targetchoice.cpp
+++ b/src/targetchoice.cpp
@@ -62,13 +62,15 @@
     target_view const* view{nullptr};
     health_level health{health_level::healthy};
     bool in_subset{true};
+    bool group_full{false};
     double load{0};
     double cost{0};
 };
 
 // Preference before the cost is compared; lower is better.
 int preference_rank(scored_target const& candidate) {
-    return 2 * static_cast<int>(candidate.health) + (candidate.in_subset ? 0 : 1);
+    return 4 * static_cast<int>(candidate.health) + (candidate.group_full ? 2 : 0) +
+           (candidate.in_subset ? 0 : 1);
 }
 
 } // namespace
@@ -99,8 +101,13 @@
         if (view.announcement.service != service || !accepts || !allows(filter, id)) {
             continue;
         }
-        scored_target candidate{&view, health(view, service_has_groups, settings, now),
-                                is_in_subset(filter, id), estimated_load(view, settings, now), 0};
+        bool const group_full = view.group && contains(filter.full_groups, view.group->name);
+        scored_target candidate{&view,
+                                health(view, service_has_groups, settings, now),
+                                is_in_subset(filter, id),
+                                group_full,
+                                estimated_load(view, settings, now),
+                                0};
         auto const slots = std::max(1.0, static_cast<double>(view.announcement.slots));
         auto const found = view.group ? slowdowns.find(view.group->name) : slowdowns.end();
         auto const own_slowdown = view.load ? view.load->slowdown : 1.0;
@@ -136,6 +143,8 @@
     choice.healthy = chosen.health <= health_level::suspect;
     choice.suspect = chosen.health == health_level::suspect;
     choice.slots = chosen.view->announcement.slots;
+    choice.group = chosen.view->group ? chosen.view->group->name : std::string{};
+    choice.group_full = chosen.group_full;
     choice.report_age = chosen.view->load ? now - chosen.view->load->sampled_at : duration{-1};
     return choice;
 }
@@ -146,12 +155,15 @@
     if (!choice.healthy || !request.stream || choice.slots == 0) {
         return choice.healthy;
     }
+    if (choice.group_full) {
+        return false;
+    }
     auto const slots = static_cast<double>(choice.slots);
     bool const overdue = request.slack <= duration::zero();
     if (request.resumed || (!overdue && request.slack < urgent_slack)) {
         return choice.load < slots + max_extra_requests;
     }
-    return choice.load < (overdue ? slots : slots * unhurried_slot_share);
+    return choice.load < (overdue || !request.reserve ? slots : slots * unhurried_slot_share);
 }
 
 void mark_group_closed(std::map<std::string, target_view>& targets, std::string const& member_id,
--- a/src/targetchoice.h
+++ b/src/targetchoice.h
@@ -31,6 +31,8 @@
     /// Sorted ids of the targets that this gateway prefers; null or empty: all. Since gateways have
     /// different subsets, they do not all send to a target that has just become free.
     std::vector<std::string> const* subset{nullptr};
+    /// Groups in which no further stream may start; other targets are preferred.
+    std::vector<std::string> full_groups;
 };
 
 /// A target's membership in a group of ranks that run each forward pass together.
@@ -87,6 +89,8 @@
     duration report_age{}; ///< age of the report that `load` is based on; negative without a report
     bool healthy{false};   ///< not silent, not in backoff, and its group is not closed
     bool suspect{false};   ///< recently answered with an error
+    std::string group;     ///< empty if unknown
+    bool group_full{false}; ///< no further stream may start in its group
 };
 
 /// Estimates the current load of a target.
@@ -107,6 +111,7 @@
     bool resumed{false}; ///< a stream that was interrupted after its first event
     /// Time left to send it in order to meet its latency target; negative if late.
     duration slack{};
+    bool reserve{true}; ///< leave some slots to urgent and late streams
 };
 
 /// Whether a request may be sent to the chosen target now.
--- a/src/vmsettings.h
+++ b/src/vmsettings.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "clock.h"
+#include "policysettings.h"
 
 #include <cstdint>
 #include <string>
@@ -49,6 +50,7 @@
     std::string target_service;
     double link_megabits_per_second{0}; ///< of this VM; 0: unknown
     vm_bounds bounds;
+    policy_settings policies;
 };
 
 } // namespace fireflycrank
--- a/tests/gateway_load_test.cpp
+++ b/tests/gateway_load_test.cpp
@@ -83,8 +83,9 @@
 // Load pattern: all processes were down for a second at peak load. First in, first out would serve
 // every request late until the load falls.
 TEST_CASE("after an outage, requests that can still meet their objective go first") {
-    auto const by_deadline = run_surge(
-        [](call_queue const& queue, time_point now) { return next_call(queue, "s", now); });
+    auto const by_deadline = run_surge([](call_queue const& queue, time_point now) {
+        return next_call(queue, "s", queue_order::by_time, now);
+    });
     auto const first_in_first_out = run_surge([](call_queue const& queue, time_point /*now*/) {
         auto const found = queue.by_service.find("s");
         return found == queue.by_service.end() || found->second.empty()
@@ -105,11 +106,11 @@
         enqueue(queue, "s", {id, at_ms(ms), at_ms(ms), at_ms(ms + 1'000)});
     }
     for (std::uint64_t id = 1; id <= 5; ++id) {
-        REQUIRE(next_call(queue, "s", at_ms(500)) == id);
+        REQUIRE(next_call(queue, "s", queue_order::by_time, at_ms(500)) == id);
         remove(queue, "s", id);
     }
     CHECK(queued_call_count(queue, "s") == 0);
-    CHECK_FALSE(next_call(queue, "s", at_ms(500)));
+    CHECK_FALSE(next_call(queue, "s", queue_order::by_time, at_ms(500)));
 }
 
 // Load pattern: many gateways choose by the same report. Without counting their own sends and
@@ -214,7 +215,11 @@
 
 // Load pattern: a burst of streams. Each one lengthens the passes of the engine.
 TEST_CASE("streams use part of the slots while they have time, and all when they are late") {
-    target_choice choice{"t1", 0, 12, 1, {}, true};
+    target_choice choice;
+    choice.id = "t1";
+    choice.slots = 12;
+    choice.candidates = 1;
+    choice.healthy = true;
     auto const usable_slots = [&](slot_request const& need) {
         unsigned count = 0;
         for (choice.load = 0; choice.load < 20 && has_capacity(choice, need); ++choice.load) {
