Gateway: hold streams only in busy groups; show the causes of lateness by second

Now a stream is held or refused only while the group runs 0.75 of its limit, and a hold ends 90 ms before the latest send time.

--- /dev/null
+++ b/scripts/day-losses.py
@@ -0,0 +1,92 @@
+#!/usr/bin/env python3
+"""Shows second by second why streams of a played day were late or refused, from the gateways' and
+rank agents' structured logs.
+
+    scripts/day-losses.py LOG...      lines may have a prefix before the JSON object
+
+Columns: second since the first line; streams that began in it; in time; late because of a pause, of
+the first event, or of both; refused attempts; streams running at the least and at the most; median
+limit of a group and streams reported to run, as gateways saw them; highest skew at a planned map change.
+"""
+import argparse
+import collections
+import datetime
+import json
+import statistics
+import sys
+
+ATTEMPT, ANSWERED, REFUSED, FAILED, ABANDONED, MAP_PLANNED = 711, 713, 714, 715, 716, 732
+SAMPLES_PER_SECOND = 10
+
+
+def entries(lines):
+    """Yields the time in seconds and the fields of each structured line."""
+    for line in lines:
+        begin = line.find('{"time"')
+        if begin < 0:
+            continue
+        try:
+            entry = json.loads(line[begin:])
+        except json.JSONDecodeError:
+            continue
+        yield datetime.datetime.fromisoformat(entry["time"].replace("Z", "+00:00")).timestamp(), entry
+
+
+def lateness(entry, first_event_ms, pause_ms):
+    first = entry["first_event_ms"] > first_event_ms
+    pause = entry["longest_pause_ms"] > pause_ms
+    return {(False, False): "in_time", (True, False): "first", (False, True): "pause"}.get((first, pause), "both")
+
+
+def attribute(lines, first_event_ms, pause_ms):
+    """Returns counters by second."""
+    seconds = collections.defaultdict(collections.Counter)
+    running = collections.Counter()
+    limits = collections.defaultdict(list)
+    origin = None
+    for time, entry in entries(lines):
+        origin = time if origin is None else origin
+        at, event = time - origin, entry.get("event")
+        began = at - entry.get("took_ms", 0) / 1000
+        if event in (ANSWERED, FAILED, ABANDONED) and "first_event_ms" in entry:
+            seconds[int(began)][lateness(entry, first_event_ms, pause_ms)] += 1
+            seconds[int(began)]["streams"] += 1
+            running.update(range(int(began * SAMPLES_PER_SECOND), int(at * SAMPLES_PER_SECOND)))
+        elif event == REFUSED:
+            seconds[int(began)]["refused"] += 1
+        elif event == MAP_PLANNED:
+            second = seconds[int(at)]
+            second["skew"] = max(second["skew"], entry["skew_before"])
+        elif event == ATTEMPT and entry.get("group_limit", 0) > 0:
+            limits[int(at)].append((entry["group_limit"], entry["group_running"]))
+    for second, counts in seconds.items():
+        samples = [running[second * SAMPLES_PER_SECOND + step] for step in range(SAMPLES_PER_SECOND)]
+        counts["least"], counts["most"] = min(samples), max(samples)
+        if limits[second]:
+            counts["limit"] = statistics.median(limit for limit, _ in limits[second])
+            counts["reported"] = statistics.median(reported for _, reported in limits[second])
+    return seconds
+
+
+COLUMNS = ["streams", "in_time", "pause", "first", "both", "refused", "least", "most", "limit", "reported", "skew"]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("logs", nargs="+", metavar="LOG")
+    parser.add_argument("--first-event-ms", type=float, default=400, help="objective for the first event")
+    parser.add_argument("--pause-ms", type=float, default=120, help="longest pause that is still in time")
+    options = parser.parse_args()
+    lines = []
+    for path in options.logs:
+        with open(path, encoding="utf-8", errors="replace") as file:
+            lines += [line for line in file if '{"time"' in line]
+    lines.sort(key=lambda line: line[line.find('{"time"'):][:40])
+    print("second " + " ".join(f"{name:>8}" for name in COLUMNS))
+    for second, counts in sorted(attribute(lines, options.first_event_ms, options.pause_ms).items()):
+        print(f"{second:6} " + " ".join(f"{counts[name]:8.4g}" for name in COLUMNS))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -377,6 +377,16 @@
     return ok();
 }
 
+void publish_groups(gateway& owner) {
+    for (auto const& [name, group] : owner.groups) {
+        auto const labels = "group=\"" + name + "\"";
+        set_gauge(*owner.metrics, "fireflycrank_group_streams", labels, group.streams.running);
+        set_gauge(*owner.metrics, "fireflycrank_group_stream_limit", labels, group.limit);
+        set_gauge(*owner.metrics, "fireflycrank_own_streams", labels, group.streams.own);
+        set_gauge(*owner.metrics, "fireflycrank_own_stream_limit", labels, group.own_limit);
+    }
+}
+
 void start_periodic_work(gateway_daemon& daemon) {
     auto& owner = daemon.state;
     run_every(owner.loop, sweep_period, [&daemon, &owner] {
@@ -418,6 +428,7 @@
                   static_cast<double>(pool.reused));
         set_gauge(*owner.metrics, "fireflycrank_calls_open", "",
                   static_cast<double>(owner.calls.size()));
+        publish_groups(owner);
         return true;
     });
 }
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -825,6 +825,9 @@
                  std::optional<std::chrono::milliseconds> retry_after) {
         bool const refused = status == unavailable;
         count_outcome(refused ? "refused" : "failed");
+        if (refused) {
+            count(*owner_.metrics, "fireflycrank_calls_refused_total", "reason=\"" + reason + "\"");
+        }
         log_end(refused ? events::call_refused : events::call_failed, status, reason);
         auto fields = platform::gateway_response_headers(headers_.attempt_id, retry_after);
         end();
--- a/src/streamadmission.cpp
+++ b/src/streamadmission.cpp
@@ -22,7 +22,7 @@
 // Passes longer than this share of the pause target are too long for further prompts.
 constexpr double hold_share = 0.7;
 // A stream is held until this long before its latest send time.
-constexpr std::chrono::milliseconds min_hold_slack{40};
+constexpr std::chrono::milliseconds min_hold_slack{90};
 
 // Gateways reach their limits at different moments, so a group would stay below its limit if each
 // kept its part exactly.
@@ -64,7 +64,8 @@
 }
 
 bool is_busy(group_admission const& group) {
-    return group.streams.running > busy_share * group.limit;
+    constexpr double nearly_full = 0.75; // fewer streams leave slots for those that wait
+    return group.streams.running > nearly_full * group.limit;
 }
 
 bool is_full(group_admission const& group, admission_request const& request) {
@@ -80,7 +81,8 @@
 bool should_hold(group_admission const& group, admission_request const& request,
                  pass_requirements const& requirements, time_point now) {
     bool const tight = request.slack >= duration::zero() && request.slack < min_hold_slack;
-    if (request.resumed || tight || requirements.pause_target <= double_milliseconds{0}) {
+    bool const has_target = requirements.pause_target > double_milliseconds{0};
+    if (request.resumed || tight || !has_target || !is_busy(group)) {
         return false;
     }
     return recent_pass(group.passes, now) > hold_share * requirements.pause_target;
--- a/src/streamadmission.h
+++ b/src/streamadmission.h
@@ -50,8 +50,8 @@
 /// Whether this gateway may not start another stream in the group now.
 bool is_full(group_admission const& group, admission_request const& request);
 
-/// Whether a stream with time to spare should wait because the present passes are too long. Each
-/// prompt would lengthen them further.
+/// Whether a stream with time to spare should wait because the present passes of a busy group are
+/// too long. Each prompt would lengthen them further.
 bool should_hold(group_admission const& group, admission_request const& request,
                  pass_requirements const& requirements, time_point now);
 
--- /dev/null
+++ b/tests/day_losses_test.py
@@ -0,0 +1,53 @@
+"""Tests scripts/day-losses.py on a small log: each cause of lateness must be counted once, in the
+second in which the stream began."""
+import importlib.util
+import pathlib
+import sys
+import unittest
+
+SCRIPT = pathlib.Path(__file__).resolve().parent.parent / "scripts" / "day-losses.py"
+spec = importlib.util.spec_from_file_location("day_losses", SCRIPT)
+day_losses = importlib.util.module_from_spec(spec)
+spec.loader.exec_module(day_losses)
+
+
+def line(second, event, **fields):
+    text = ",".join(f'"{name}":{value}' for name, value in fields.items())
+    return f'  {second} edge-1 {{"time":"2026-01-01T00:00:{second:06.3f}Z","event":{event},{text}}}'
+
+
+def stream(second, first_event_ms, longest_pause_ms):
+    return line(second, 713, took_ms=1500, first_event_ms=first_event_ms, longest_pause_ms=longest_pause_ms)
+
+
+class DayLosses(unittest.TestCase):
+    def test_each_stream_counts_for_one_cause(self):
+        lines = [
+            line(0, 701, seeds=1),
+            stream(2.0, 300, 90),
+            stream(2.1, 300, 130),
+            stream(2.2, 500, 90),
+            stream(2.3, 500, 130),
+            line(2.4, 714, took_ms=100),
+            line(2.5, 732, skew_before=2.5),
+            line(2.6, 711, group_limit=400, group_running=380),
+            "not a structured line",
+            '  3 edge-1 {"time":"2026-01-01T00:00:03.000Z","event":',
+        ]
+        seconds = day_losses.attribute(lines, 400, 120)
+        began = seconds[0]
+        for cause in ("in_time", "pause", "first", "both"):
+            self.assertEqual(began[cause], 1, cause)
+        self.assertEqual(began["streams"], 4)
+        self.assertEqual(seconds[2]["refused"], 1)
+        self.assertEqual(seconds[2]["skew"], 2.5)
+        self.assertEqual((seconds[2]["limit"], seconds[2]["reported"]), (400, 380))
+        self.assertEqual(began["most"], 4)
+        self.assertEqual(began["least"], 0)
+
+    def test_a_log_without_streams_gives_no_rows(self):
+        self.assertEqual(day_losses.attribute([], 400, 120), {})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/gateway_admission_test.cpp
+++ b/tests/gateway_admission_test.cpp
@@ -290,11 +290,15 @@
         record_pass(group.passes, milliseconds{115}, {6.0, 1.0}, at_ms(pass * 10));
     }
     auto const needs = requirements();
+    update_limits(group, {360, 60, 10, 1.0}, needs, 37, at_ms(100));
     CHECK(should_hold(group, {false, milliseconds{200}}, needs, at_ms(100)));
     CHECK(should_hold(group, {false, milliseconds{-5}}, needs, at_ms(100)));
     CHECK_FALSE(should_hold(group, {false, milliseconds{20}}, needs, at_ms(100)));
     CHECK_FALSE(should_hold(group, {true, milliseconds{200}}, needs, at_ms(100)));
     CHECK_FALSE(should_hold(group, {false, milliseconds{200}}, needs, at_ms(2'000)));
+    // With few streams, even the longest passes stay within the pause target.
+    update_limits(group, {120, 60, 3, 1.0}, needs, 37, at_ms(110));
+    CHECK_FALSE(should_hold(group, {false, milliseconds{200}}, needs, at_ms(110)));
 }
 
 // Load pattern: a burst of the least urgent kind of request in front of full slots.
