Gateway: log what a refused request waited for

The log line of a refusal did not tell why. It now names what the request waited for and the inputs of the prediction: time left to send it, length of the queue, interval between free slots.

--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -91,6 +91,34 @@
     return "";
 }
 
+/// Why a request is not sent at once.
+enum class wait_cause : std::uint8_t {
+    none,
+    no_target,
+    full_group,  ///< this gateway's part of the group's limit is in use
+    full_target, ///< the chosen target has no slot for it
+    long_passes,
+    other_calls ///< that wait already
+};
+
+char const* name_of(wait_cause cause) {
+    switch (cause) {
+    case wait_cause::none:
+        return "none";
+    case wait_cause::no_target:
+        return "no_target";
+    case wait_cause::full_group:
+        return "full_group";
+    case wait_cause::full_target:
+        return "full_target";
+    case wait_cause::long_passes:
+        return "long_passes";
+    case wait_cause::other_calls:
+        return "other_calls";
+    }
+    return "";
+}
+
 } // namespace
 
 /// A caller's request at the gateway.
@@ -151,7 +179,8 @@
     // Sends the queued request if there is a free slot.
     bool try_admit() {
         auto const choice = choose();
-        if (!has_room(choice)) {
+        wait_cause_ = cause_to_wait(choice);
+        if (wait_cause_ != wait_cause::none) {
             return false;
         }
         leave_queue();
@@ -259,13 +288,19 @@
                              owner_.target_selection, owner_.random, loop_now(owner_.loop));
     }
 
-    [[nodiscard]] bool has_room(target_choice const& choice) const {
+    [[nodiscard]] wait_cause cause_to_wait(target_choice const& choice) const {
         slot_request need;
         need.stream = progress_.kind == call_kind::stream;
         need.resumed = progress_.answer_started;
         need.slack = latest_send_time() - loop_now(owner_.loop);
         need.reserve = owner_.settings.policies.reserve_slots;
-        return fireflycrank::has_capacity(choice, need) && !(need.stream && is_held(choice));
+        if (!choice.healthy) {
+            return wait_cause::no_target;
+        }
+        if (!fireflycrank::has_capacity(choice, need)) {
+            return choice.group_full ? wait_cause::full_group : wait_cause::full_target;
+        }
+        return need.stream && is_held(choice) ? wait_cause::long_passes : wait_cause::none;
     }
 
     [[nodiscard]] admission_request admission_need() const {
@@ -319,7 +354,11 @@
             return;
         }
         bool const others_queued = queued_call_count(owner_.queue, service_) > 0 && stream;
-        if (has_room(choice) && !others_queued) {
+        wait_cause_ = cause_to_wait(choice);
+        if (wait_cause_ == wait_cause::none && others_queued) {
+            wait_cause_ = wait_cause::other_calls;
+        }
+        if (wait_cause_ == wait_cause::none) {
             send(choice);
             return;
         }
@@ -854,6 +893,13 @@
                                       {"attempts", sends_},
                                       {"target", target_id_},
                                       {"took_ms", in_millis(now - request_.first_byte_at)}};
+        if (wait_cause_ != wait_cause::none) {
+            auto const interval = free_slot_interval(owner_.slot_flows[service_], now);
+            fields.emplace_back("waited_for", name_of(wait_cause_));
+            fields.emplace_back("slack_ms", in_millis(latest_send_time() - now));
+            fields.emplace_back("queued", queued_call_count(owner_.queue, service_));
+            fields.emplace_back("slot_interval_ms", in_millis(interval));
+        }
         if (first_event_at_ != time_point{}) {
             fields.emplace_back("first_event_ms",
                                 in_millis(first_event_at_ - request_.first_byte_at));
@@ -905,6 +951,7 @@
     std::string passed_event_from_; ///< target of the last forwarded event
     bool holds_slot_{false};
     bool ended_{false};
+    wait_cause wait_cause_{wait_cause::none};
     std::uint64_t queue_id_{0};
     bool waiting_for_config_{false};
     std::shared_ptr<target_exchange> exchange_;
