Gateway: do not take callers with shorter time limits for late ones

What callers saw: at peak load four in five new streams were held or refused at once as if they had missed their objective already, while slots were free.

Cause: the time of a caller's earlier attempts was taken as the route's timeout minus the time limit that the caller states. Late requests wait for 0.1 s at most, are held through whole changes of demand, and may use 0.7 of a gateway's part of the limit.

Change: timelimits learns the shortest usual limit while this gateway has refused nobody lately, and a request counts as repeated only below it. Until enough is known, 0.85 of the timeout is assumed.

Tests: gateway_admission_test, three cases. With the version before, 250 ms of a limit of 7.75 s out of 8 s is time spent before, by its definition.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -22,6 +22,7 @@
 #include "streamadmission.h"
 #include "targetchoice.h"
 #include "targetpool.h"
+#include "timelimits.h"
 #include "vmsettings.h"
 
 #include <map>
@@ -73,7 +74,8 @@
     std::map<std::string, pass_requirements> pass_needs; ///< by service
     std::map<std::string, slot_flow> slot_flows;         ///< by service
     std::map<std::string, return_plan> return_plans;     ///< by service
-    call_queue queue;                                    ///< calls that wait for a slot at a target
+    time_limit_history time_limits;
+    call_queue queue; ///< calls that wait for a slot at a target
     std::map<std::uint64_t, std::shared_ptr<gateway_call>> queued_calls; ///< by id in `queue`
     std::uint64_t last_queue_id{0};
     bool admission_posted{false}; ///< admit_calls() is posted to the event loop
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -244,6 +244,11 @@
         auto const limit =
             std::min<duration>(headers_.time_limit.value_or(default_time_limit), route.timeout);
         deadline_ = request_.first_byte_at + limit;
+        if (headers_.time_limit) {
+            spent_before_ = estimate_time_spent(*headers_.time_limit);
+            record_time_limit(owner_.time_limits, *headers_.time_limit, route_timeout_,
+                              loop_now(owner_.loop));
+        }
         expires_at_ = deadline_ + response_slack;
         splitter_.last_id = headers_.last_event_id;
     }
@@ -256,14 +261,15 @@
     // Whether the latency objective is missed, counted from the caller's first attempt.
     [[nodiscard]] bool is_late() const {
         return !progress_.answer_started && latency_objective_ > duration::zero() &&
-               loop_now(owner_.loop) - request_.first_byte_at + time_spent_before() >
-                   latency_objective_;
+               loop_now(owner_.loop) - request_.first_byte_at + spent_before_ > latency_objective_;
     }
 
-    // Time of the caller's earlier attempts: a retry has a shorter time limit than the route gives.
-    [[nodiscard]] duration time_spent_before() const {
-        return std::max<duration>(duration::zero(),
-                                  route_timeout_ - headers_.time_limit.value_or(route_timeout_));
+    // Estimates the time of the caller's earlier attempts.
+    [[nodiscard]] duration estimate_time_spent(duration limit) const {
+        if (!owner_.settings.policies.learn_time_limits) {
+            return std::max<duration>(duration::zero(), route_timeout_ - limit);
+        }
+        return time_spent_before(owner_.time_limits, limit, route_timeout_);
     }
 
     target_view* current_target() {
@@ -335,7 +341,7 @@
 
     // Latest time to send a stream so that its first event can still meet the objective.
     [[nodiscard]] time_point latest_send_time() const {
-        return request_.first_byte_at - time_spent_before() + latency_objective_ -
+        return request_.first_byte_at - spent_before_ + latency_objective_ -
                typical_first_event_delay;
     }
 
@@ -865,6 +871,8 @@
         bool const refused = status == unavailable;
         count_outcome(refused ? "refused" : "failed");
         if (refused) {
+            auto const now = loop_now(owner_.loop);
+            record_refused_caller(owner_.time_limits, deadline_ - now, now);
             count(*owner_.metrics, "fireflycrank_calls_refused_total", "reason=\"" + reason + "\"");
         }
         log_end(refused ? events::call_refused : events::call_failed, status, reason);
@@ -935,6 +943,7 @@
     std::uint64_t version_{0};
     std::chrono::milliseconds route_timeout_{0};
     std::chrono::milliseconds latency_objective_{0};
+    duration spent_before_{}; ///< on earlier attempts of the caller
     time_point deadline_{};
     time_point expires_at_{};
     time_point sent_at_{};
--- a/src/policysettings.cpp
+++ b/src/policysettings.cpp
@@ -22,6 +22,7 @@
     policy_field{"order_by_priority", &policy_settings::order_by_priority},
     policy_field{"refuse_hopeless", &policy_settings::refuse_hopeless},
     policy_field{"spread_returns", &policy_settings::spread_returns},
+    policy_field{"learn_time_limits", &policy_settings::learn_time_limits},
     policy_field{"reserve_slots", &policy_settings::reserve_slots},
     policy_field{"follow_subset", &policy_settings::follow_subset},
     policy_field{"avoid_failing", &policy_settings::avoid_failing},
--- a/src/policysettings.h
+++ b/src/policysettings.h
@@ -17,6 +17,7 @@
     bool order_by_priority{true}; ///< send the most urgent waiting request first
     bool refuse_hopeless{true};   ///< refuse what cannot begin in time instead of queueing it
     bool spread_returns{true};    ///< give refused callers different times to return
+    bool learn_time_limits{true}; ///< tell repeated attempts from callers with short time limits
     bool reserve_slots{true};     ///< keep slots of each target for urgent and late streams
     bool follow_subset{true};     ///< prefer a different subset of the targets at each gateway
     bool avoid_failing{true};     ///< prefer other targets after one has answered with a failure
--- a/tests/gateway_admission_test.cpp
+++ b/tests/gateway_admission_test.cpp
@@ -5,6 +5,7 @@
 #include "passmodel.h"
 #include "returnplan.h"
 #include "streamadmission.h"
+#include "timelimits.h"
 
 #include <doctest/doctest.h>
 
@@ -355,6 +356,54 @@
           milliseconds{1'000});
 }
 
+// Load pattern: callers on their first attempt have limits between 6.8 and 8 s. Regression: the
+// limit was compared with the timeout of the route, so four in five of them were taken for late
+// repeated attempts and yielded to all others.
+TEST_CASE("different time limits of callers are no sign of an earlier attempt") {
+    constexpr milliseconds timeout{8'000};
+    time_limit_history history;
+    rng random{5};
+    unsigned taken_for_late = 0;
+    for (std::int64_t call = 0; call < 400; ++call) {
+        milliseconds const limit{6'800 + static_cast<std::int64_t>(next_below(random, 1'200))};
+        taken_for_late += time_spent_before(history, limit, timeout) > milliseconds{250} ? 1 : 0;
+        record_time_limit(history, limit, timeout, at_ms(call * 100));
+    }
+    CHECK(taken_for_late == 0);
+    // A caller that returns after 1.5 s is late, whichever limit it began with.
+    CHECK(time_spent_before(history, milliseconds{6'300}, timeout) > milliseconds{400});
+    CHECK(time_spent_before(history, milliseconds{5'300}, timeout) > milliseconds{1'400});
+}
+
+// Load pattern: refused callers return with the rest of their time. Their limits must not be
+// learned as those of first attempts.
+TEST_CASE("limits of returning callers are not learned") {
+    constexpr milliseconds timeout{8'000};
+    time_limit_history history;
+    for (std::int64_t call = 0; call < 128; ++call) {
+        record_time_limit(history, milliseconds{8'000}, timeout, at_ms(call));
+    }
+    record_refused_caller(history, milliseconds{7'800}, at_ms(200));
+    for (std::int64_t call = 0; call < 128; ++call) {
+        record_time_limit(history, milliseconds{6'000}, timeout, at_ms(1'000 + call));
+    }
+    CHECK(time_spent_before(history, milliseconds{6'000}, timeout) == milliseconds{2'000});
+    // Without refusals, shorter limits are those of other callers.
+    for (std::int64_t call = 0; call < 128; ++call) {
+        record_time_limit(history, milliseconds{6'000}, timeout, at_ms(5'000 + call));
+    }
+    CHECK(time_spent_before(history, milliseconds{6'000}, timeout) == duration::zero());
+}
+
+// Load pattern: all slots are in use from the first second on, or a gateway has just started, so
+// it knows few limits yet. Returning callers took the slots of those who could be on time.
+TEST_CASE("a returning caller is recognized without knowledge of other callers") {
+    time_limit_history const history;
+    constexpr milliseconds timeout{8'000};
+    CHECK(time_spent_before(history, milliseconds{7'000}, timeout) == duration::zero());
+    CHECK(time_spent_before(history, milliseconds{5'800}, timeout) == milliseconds{1'000});
+}
+
 // Load pattern: no slot became free for a while, as in an outage. The interval is unknown then.
 TEST_CASE("the interval between free slots is unknown after a pause") {
     slot_flow flow;
