Gateway: raise a gateway's part of the limit only while requests need it

Cause: gateways raise their parts while the group runs less than its limit, to make up for gateways that are below their part by chance. They also did so in the calm seconds before the burst, when nobody needed more (sum of the parts 690 for a limit of 430), and came down only slowly.

Change: a part grows only while this gateway has turned away requests that could be on time; otherwise it returns to normal.

Test: "a burst after a calm phase does not exceed the limit", a model of 8 and 37 gateways; before, up to 504 streams for a limit of 430.

--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -180,6 +180,7 @@
     bool try_admit() {
         auto const choice = choose();
         wait_cause_ = cause_to_wait(choice);
+        record_group_shortage(choice);
         if (wait_cause_ != wait_cause::none) {
             return false;
         }
@@ -309,6 +310,15 @@
         return need.stream && is_held(choice) ? wait_cause::long_passes : wait_cause::none;
     }
 
+    void record_group_shortage(target_choice const& choice) {
+        auto const group = owner_.groups.find(choice.group);
+        auto const now = loop_now(owner_.loop);
+        bool const in_time = latest_send_time() >= now;
+        if (wait_cause_ == wait_cause::full_group && in_time && group != owner_.groups.end()) {
+            record_shortage(group->second, now);
+        }
+    }
+
     [[nodiscard]] admission_request admission_need() const {
         return {progress_.answer_started, latest_send_time() - loop_now(owner_.loop)};
     }
@@ -361,6 +371,7 @@
         }
         bool const others_queued = queued_call_count(owner_.queue, service_) > 0 && stream;
         wait_cause_ = cause_to_wait(choice);
+        record_group_shortage(choice);
         if (wait_cause_ == wait_cause::none && others_queued) {
             wait_cause_ = wait_cause::other_calls;
         }
--- a/src/streamadmission.cpp
+++ b/src/streamadmission.cpp
@@ -14,8 +14,6 @@
 constexpr double certainty = 0.5;
 // While a group is filled less than this, a gateway may exceed its part by its share of the rest.
 constexpr double filled_share = 0.85;
-// Below this share of the limit, the limit is not the reason for unused slots.
-constexpr double busy_share = 0.7;
 // Late requests take places only below this share of the limit, so that the next request that can
 // still be on time finds one.
 constexpr double late_share = 0.7;
@@ -25,18 +23,20 @@
 constexpr std::chrono::milliseconds min_hold_slack{90};
 
 // Gateways reach their limits at different moments, so a group would stay below its limit if each
-// kept its part exactly.
-void adjust_gain(group_admission& group, double unused_share,
-                 std::chrono::duration<double> elapsed) {
+// kept its part exactly. While nothing is turned away, unused slots say nothing about the parts.
+void adjust_gain(group_admission& group, double unused_share, std::chrono::duration<double> elapsed,
+                 time_point now) {
     constexpr double max_gain = 1.3;
     constexpr double min_gain = 0.8;
     // Slow compared with the age of the reports, so that the number of streams does not oscillate.
     constexpr double gain_per_second = 0.3;
-    if (unused_share > 1.0 - busy_share) {
-        return;
-    }
-    double const step = gain_per_second * unused_share * std::min(1.0, elapsed.count());
-    group.gain = std::clamp(group.gain + step, min_gain, max_gain);
+    constexpr double reset_per_second = 0.5;
+    constexpr std::chrono::milliseconds shortage_memory{1'000};
+    double const seconds = std::min(1.0, elapsed.count());
+    bool const is_short = group.short_at != time_point{} && now - group.short_at < shortage_memory;
+    double const step = is_short || unused_share < 0 ? gain_per_second * unused_share
+                                                     : reset_per_second * (1.0 - group.gain);
+    group.gain = std::clamp(group.gain + step * seconds, min_gain, max_gain);
 }
 
 } // namespace
@@ -59,7 +59,7 @@
     double const proportional_part = group.usual_own * group.limit / running;
     double const spare =
         std::max(0.0, filled_share * group.limit - running) / std::max(1U, gateways);
-    adjust_gain(group, (group.limit - running) / group.limit, elapsed);
+    adjust_gain(group, (group.limit - running) / group.limit, elapsed, now);
     group.own_limit = group.gain * std::max(equal_part, proportional_part) + spare;
 }
 
@@ -78,6 +78,10 @@
     return group.streams.own + rounding > allowed;
 }
 
+void record_shortage(group_admission& group, time_point now) {
+    group.short_at = now;
+}
+
 bool should_hold(group_admission const& group, admission_request const& request,
                  pass_requirements const& requirements, time_point now) {
     bool const tight = request.slack >= duration::zero() && request.slack < min_hold_slack;
--- a/src/streamadmission.h
+++ b/src/streamadmission.h
@@ -24,10 +24,11 @@
     std::string service; ///< that the group serves
     pass_model passes;
     group_streams streams;
-    double usual_own{0}; ///< average of `streams.own` over the age of the load reports
-    double limit{0};     ///< streams in the group; 0: unknown
-    double gain{1.0};    ///< factor by which gateways exceed their parts to fill the group
-    double own_limit{0}; ///< streams of this gateway
+    double usual_own{0};   ///< average of `streams.own` over the age of the load reports
+    double limit{0};       ///< streams in the group; 0: unknown
+    double gain{1.0};      ///< factor by which gateways exceed their parts to fill the group
+    double own_limit{0};   ///< streams of this gateway
+    time_point short_at{}; ///< a request last found all of this gateway's part in use
     time_point updated_at{};
 };
 
@@ -50,6 +51,9 @@
 /// Whether this gateway may not start another stream in the group now.
 bool is_full(group_admission const& group, admission_request const& request);
 
+/// Records that a request found the group full.
+void record_shortage(group_admission& group, time_point now);
+
 /// Whether a stream with time to spare should wait because the present passes of a busy group are
 /// too long. Each prompt would lengthen them further.
 bool should_hold(group_admission const& group, admission_request const& request,
--- a/tests/gateway_admission_test.cpp
+++ b/tests/gateway_admission_test.cpp
@@ -48,6 +48,7 @@
     std::int64_t shift_end_ms{1'000'000};
     std::int64_t shift_length_ms{450}; ///< until the expert map follows
     double skew_in_shift{3.3};
+    std::int64_t burst_at_ms{1'000'000};  ///< three times as many streams arrive from then on
     std::int64_t deaths_at_ms{1'000'000}; ///< half of the gateways end
     unsigned lost_report_one_in{0};
     bool hold{true}; ///< new streams wait while passes are long
@@ -112,7 +113,8 @@
         if (ms % 30 == 0) {
             update(ms);
         }
-        arrivals_ += load_.streams_per_second * tick_ms / 1'000;
+        double const burst = ms >= load_.burst_at_ms ? 3.0 : 1.0;
+        arrivals_ += burst * load_.streams_per_second * tick_ms / 1'000;
         for (; arrivals_ >= 1; --arrivals_) {
             arrive(ms);
         }
@@ -158,10 +160,14 @@
     void arrive(std::int64_t ms) {
         auto const gateway = next_below(random_, gateways_.size());
         admission_request const request{false, milliseconds{200}};
-        if (is_dead(gateway, ms) || is_full(gateways_[gateway], request) ||
+        if (is_dead(gateway, ms) ||
             (load_.hold && should_hold(gateways_[gateway], request, requirements(), at_ms(ms)))) {
             return;
         }
+        if (is_full(gateways_[gateway], request)) {
+            record_shortage(gateways_[gateway], at_ms(ms));
+            return;
+        }
         own_[gateway].push_back(passes_per_stream);
         ++gateways_[gateway].streams.own;
     }
@@ -238,6 +244,27 @@
     CHECK(seconds[16].mean_running < 1.1 * seconds[16].mean_limit);
 }
 
+// Load pattern: a burst after ten seconds in which fewer streams arrive than the group may run.
+// Regression: gateways had raised their parts meanwhile, though nobody needed more, and exceeded
+// the limit by a quarter in the burst.
+TEST_CASE("a burst after a calm phase does not exceed the limit") {
+    for (unsigned const gateways : {8U, 37U}) {
+        simulated_load load;
+        load.gateways = gateways;
+        load.streams_per_second = 200;
+        load.shift_period_ms = 2'300;
+        load.burst_at_ms = 12'000;
+        load.hold = false;
+        auto const seconds = simulated_group{load}.run(20);
+        for (std::size_t second = 12; second < 20; ++second) {
+            CAPTURE(gateways);
+            CAPTURE(second);
+            CHECK(seconds[second].mean_running <
+                  1.1 * std::max(seconds[second].mean_limit, seconds[second - 1].mean_limit));
+        }
+    }
+}
+
 // Load pattern: every third load report is lost, so that others are used for longer.
 TEST_CASE("the limit is kept while load reports are lost") {
     simulated_load load;
