--- a/src/admission.h
+++ b/src/admission.h
@@ -68,7 +68,7 @@
     /// -2 to 2; each step doubles the queue wait at which shares are enforced.
     std::int32_t priority{0};
     time_point deadline;
-    duration expected_wait{0}; ///< for a slot at the best known target; zero when unknown
+    duration expected_wait{0}; ///< mean for a slot, over the targets; zero when unknown
     duration expected_run{0};
     duration mean_queue_wait{0}; ///< over the targets that serve the route
 };
--- a/src/callqueue.h
+++ b/src/callqueue.h
@@ -19,7 +19,9 @@
 struct queued_call {
     std::uint64_t id{0};
     time_point arrived{};
-    time_point send_by{};    ///< latest send time that still meets the latency objective
+    /// Latest send time that still meets the latency objective; for a resumed stream shortly after
+    /// its interruption.
+    time_point send_by{};
     time_point expires_at{}; ///< end of the wait for a slot
     unsigned priority{0};    ///< 0 is the most urgent
     bool resumed{false};     ///< a stream that was interrupted after its first event; goes first
--- a/src/crashtracker.cpp
+++ b/src/crashtracker.cpp
@@ -61,7 +61,7 @@
 
 quarantine_table make_local_quarantine_table() {
     quarantine_table table;
-    table.limits.entries = 1'000; // more than a gateway has running at once
+    table.limits.entries = 1'000; // suspects; more than lose a run at the same time
     table.limits.quarantine_time = std::chrono::hours{1};
     table.limits.hearing_time = std::chrono::seconds{3};
     table.limits.short_hearing_time = table.limits.hearing_time;
--- a/src/crashtracker.h
+++ b/src/crashtracker.h
@@ -1,7 +1,7 @@
 /// @file
 /// Tracks requests that crash the targets that run them, and the reports that a gateway sends about
 /// them. The registrars' replicated quarantine table collects the reports of all gateways; a
-/// gateway knows only its own runs. It applies its own observations at once, so quarantine works
+/// gateway knows only its own runs. It also records them in a table of its own, so quarantine works
 /// while the registrars are unreachable. Pure functions without I/O.
 #pragma once
 
@@ -30,7 +30,8 @@
     /// network partition of the registrars are shorter.
     duration report_lifetime{std::chrono::seconds{30}};
     std::size_t max_reports{256};
-    /// Number of requests whose last successful run is remembered.
+    /// Number of requests whose last successful run is remembered; the one that first succeeded
+    /// longest ago is dropped.
     std::size_t max_finished{1'000};
 };
 
@@ -59,9 +60,9 @@
     time_point next_send_at{};
 };
 
-/// Creates the empty table for a gateway's own observations. Other processes may have seen a
-/// successful run, so a verdict takes effect only after a delay in which their reports would
-/// arrive.
+/// Creates the empty table for a gateway's own observations. It decides alone only while no
+/// registrar can be reached, so its verdicts take effect after a delay in which the registrars'
+/// answers would arrive.
 quarantine_table make_local_quarantine_table();
 
 /// The state of one gateway.
@@ -73,12 +74,12 @@
     /// A suspect in the registrars' table.
     struct listed_suspect {
         time_point refuse_from{};
-        time_point refuse_until{}; ///< before `refuse_from` when there is no verdict
+        time_point refuse_until{}; ///< not after `refuse_from` when there is no verdict
     };
     std::map<std::string, listed_suspect, std::less<>> listed_suspects;
     std::uint64_t list_revision{0};
     std::unordered_map<std::uint64_t, time_point> last_finished; ///< by hash of the fingerprint
-    std::deque<std::uint64_t> finished_by_age;                   ///< its keys, oldest first
+    std::deque<std::uint64_t> finished_by_age; ///< its keys, by first successful run
     std::map<std::uint64_t, crash_report> pending_reports;
     /// Starts higher in each process, so that a late acknowledgement matches no newer report.
     std::uint64_t last_report_number{0};
--- a/src/entryattempt.cpp
+++ b/src/entryattempt.cpp
@@ -103,7 +103,7 @@
     why.status = not_run ? http_status::unavailable : http_status::bad_gateway;
     why.reason = name_of(reason);
     why.message = not_run ? "no target took the request; send it again after the given time"
-                          : "the targets that ran the request were lost; it may be sent again";
+                          : "attempts failed that may have run; the request may be sent again";
     why.retry_after = default_retry_after;
     return why;
 }
@@ -262,8 +262,8 @@
     request.may_have_run = true;
     request.tried_targets.push_back(id.target);
     if (outcome == attempt_outcome::target_lost && request.run_alone && started) {
-        // It ran with no other request beside it, so it caused the crash; control quarantines it
-        // too.
+        // It ran with no other request beside it, so it is held responsible; control quarantines
+        // it too.
         refuse_request(context, request,
                        {request_outcome::failed, http_status::unprocessable, "crashed_alone",
                         "this request crashed the targets that ran it; change it or ask an "
@@ -278,8 +278,7 @@
     if (on_attempt_lost(request.answer, may_resume) == continue_from::nowhere) {
         refuse_request(context, request,
                        {request_outcome::failed, http_status::bad_gateway, reason,
-                        "the target was lost in the middle of the answer; send the request again",
-                        default_retry_after});
+                        "the answer broke off; send the request again", default_retry_after});
         return;
     }
     retry_or_give_up(context, request, outcome);
--- a/src/entryinternal.h
+++ b/src/entryinternal.h
@@ -38,16 +38,16 @@
 } // namespace http_status
 
 /// Sends the caller a refusal and ends the request.
-/// @param request erased, unless it is an order, which advance_order() erases
+/// @param request erased, unless `request.order` is set: advance_order() erases that
 void refuse_request(event_context& context, entry_request& request, refusal const& why);
 
 /// Sends the caller a target's whole response and ends the request.
-/// @param request erased, unless it is an order, which advance_order() erases
+/// @param request erased, unless `request.order` is set: advance_order() erases that
 void answer_request(event_context& context, entry_request& request, std::uint32_t status,
                     std::string const& content_type, std::string body);
 
 /// Records the final answer of a request for logs, metrics and admission.
-/// @param request erased, unless it is an order, which advance_order() erases
+/// @param request erased, unless `request.order` is set: advance_order() erases that
 /// @param reason for the log
 void close_request(event_context& context, entry_request& request, request_outcome outcome,
                    std::string const& reason);
@@ -86,7 +86,8 @@
 void handle_lost_attempt(event_context& context, entry_request& request, attempt_outcome outcome,
                          std::string const& reason);
 
-/// Handles the time limits of an idempotent request.
+/// Starts the retries of an idempotent request that are due, asks for the state of its attempts,
+/// and handles its time limits.
 void tick_request(event_context& context, entry_request& request);
 
 /// When an idempotent request next needs a tick.
@@ -99,7 +100,7 @@
 void start_order(event_context& context, entry_request& request);
 
 /// Passes an event to an order's state machine and performs the resulting actions.
-/// @param request erased when the order is over
+/// @param request erased when the order is over and its caller was answered or is gone
 void advance_order(event_context& context, entry_request& request, order_event const& event);
 
 } // namespace fireflycrank
--- a/src/estimate.h
+++ b/src/estimate.h
@@ -31,8 +31,9 @@
     std::uint32_t min_samples{20}; ///< a histogram with fewer samples is not used
     /// At this total all counts are halved, so that old samples lose weight.
     std::uint32_t max_samples{4096};
-    double long_work_threshold{512}; ///< output tokens from which a request is long
-    std::size_t max_routes{1024};    ///< further routes share one history
+    /// Output tokens from which a request is long, unless its route has a threshold of its own.
+    double long_work_threshold{512};
+    std::size_t max_routes{1024}; ///< further routes share one history
 };
 
 /// Output histories of all routes.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -322,7 +322,8 @@
     });
 }
 
-// Stops the loop once all calls have ended, or when the grace period is nearly over. Returns
+// Stops the loop once no more callers are accepted and all calls have ended, or when the grace
+// period is nearly over. Returns
 // whether the gateway keeps running.
 bool check_stop(gateway_daemon& daemon) {
     auto& owner = daemon.state;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -65,7 +65,8 @@
     std::shared_ptr<service_config const> config;
     std::uint64_t requested_config_version{0}; ///< requested last from a registrar
     time_point config_requested_at{};
-    bool config_confirmed{false}; ///< `config` is known to be the newest one
+    /// A registrar confirmed that `config` is the newest one, or none did in time.
+    bool config_confirmed{false};
     time_point started_at{};
 
     std::set<std::shared_ptr<gateway_call>> calls;
@@ -105,7 +106,7 @@
 /// sweep_calls().
 void update_groups(gateway& owner);
 
-/// Ends calls whose time is over. To be called about every 50 ms.
+/// Ends calls whose time is over. To be called several times per 100 ms.
 void sweep_calls(gateway& owner);
 
 /// Records a run that ended without a complete response, and checks whether its target has ended.
@@ -119,8 +120,8 @@
 /// @param from the registrar's address
 void handle_suspect_list(gateway& owner, std::string const& from, suspect_list const& list);
 
-/// Records crashes of targets that another incarnation has replaced. To be called after each update
-/// of the directory.
+/// Records lost runs whose target another incarnation has replaced as ended in a crash. To be
+/// called after each update of the directory.
 void record_replaced_targets(gateway& owner);
 
 /// Refuses queued calls whose requests are quarantined.
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -355,8 +355,8 @@
                typical_first_event_delay;
     }
 
-    // Sends the request at once if there is a free slot and no stream is queued; queues it
-    // otherwise.
+    // Sends the request at once if there is a free slot, and, for a stream, if no other call of the
+    // service is queued; queues it otherwise.
     void send_or_queue() {
         if (refuse_if_quarantined()) {
             return;
--- a/src/gatewaycrash.cpp
+++ b/src/gatewaycrash.cpp
@@ -115,7 +115,7 @@
         if (recipients.empty()) {
             return;
         }
-        // A resent report goes to another registrar.
+        // Reports go to the registrars in turn, so a resent one usually reaches another.
         owner.link->send(recipients[owner.next_report_registrar++ % recipients.size()],
                          crash_report_type,
                          serialize(crash_report_message{number, owner.subscriber.self.address,
--- a/src/retrylimits.h
+++ b/src/retrylimits.h
@@ -50,8 +50,8 @@
 /// Counts a caller's request.
 void count_request(retry_window_counts& counts, retry_limits const& limits, time_point now);
 
-/// Takes one retry from the budget. A process has no share of the allowance during its first
-/// window, because it does not know what its predecessor used.
+/// Takes one retry from the budget. A process has no share of the allowance until it has counted
+/// a whole window, because it does not know what its predecessor used.
 /// @return false if the retry would exceed this gateway's share; nothing is counted then
 bool take_retry(retry_window_counts& counts, retry_limits const& limits,
                 allowance_share const& share, time_point now);
