Gateway: plan a refused caller's return where it is refused; one place sets the cause to wait

No change of behaviour: the reason of a refusal was compared as text to find the planned return, and two callers each recorded a shortage after they had set the cause.

--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -179,8 +179,7 @@
     // Sends the queued request if there is a free slot.
     bool try_admit() {
         auto const choice = choose();
-        wait_cause_ = cause_to_wait(choice);
-        record_group_shortage(choice);
+        check_room(choice);
         if (wait_cause_ != wait_cause::none) {
             return false;
         }
@@ -192,7 +191,16 @@
     // Refuses a queued call that could not begin in time.
     void refuse_hopeless() {
         leave_queue();
-        give_up("no_slot_in_time");
+        char const* const reason = "no_slot_in_time";
+        if (progress_.may_have_run || !owner_.settings.policies.spread_returns) {
+            give_up(reason);
+            return;
+        }
+        auto const now = loop_now(owner_.loop);
+        respond(unavailable, reason,
+                plan_return(owner_.return_plans[service_],
+                            free_slot_interval(owner_.slot_flows[service_], now), deadline_ - now,
+                            owner_.random, now));
     }
 
     void on_queue_timeout() {
@@ -310,11 +318,14 @@
         return need.stream && is_held(choice) ? wait_cause::long_passes : wait_cause::none;
     }
 
-    void record_group_shortage(target_choice const& choice) {
-        auto const group = owner_.groups.find(choice.group);
+    // Sets the cause to wait. A group without room for a request that could be on time is short of
+    // places.
+    void check_room(target_choice const& choice) {
+        wait_cause_ = cause_to_wait(choice);
         auto const now = loop_now(owner_.loop);
-        bool const in_time = latest_send_time() >= now;
-        if (wait_cause_ == wait_cause::full_group && in_time && group != owner_.groups.end()) {
+        auto const group = owner_.groups.find(choice.group);
+        bool const is_short = wait_cause_ == wait_cause::full_group && latest_send_time() >= now;
+        if (is_short && group != owner_.groups.end()) {
             record_shortage(group->second, now);
         }
     }
@@ -370,8 +381,7 @@
             return;
         }
         bool const others_queued = queued_call_count(owner_.queue, service_) > 0 && stream;
-        wait_cause_ = cause_to_wait(choice);
-        record_group_shortage(choice);
+        check_room(choice);
         if (wait_cause_ == wait_cause::none && others_queued) {
             wait_cause_ = wait_cause::other_calls;
         }
@@ -676,7 +686,11 @@
         record_finished(owner_.crashes, fingerprint_, loop_now(owner_.loop));
         bool const bad =
             response_->status >= first_server_error && response_->status != gateway_timeout;
-        bad&& owner_.settings.policies.avoid_failing ? mark_target_suspect() : mark_target_good();
+        if (bad && owner_.settings.policies.avoid_failing) {
+            mark_target_suspect();
+        } else {
+            mark_target_good();
+        }
         if (retrying_failure_) {
             record_retry_result(owner_.failure_retries[service_], !bad);
             retrying_failure_ = false;
@@ -827,14 +841,6 @@
             respond(unavailable, reason, quarantine_left_); // exact, so it needs no jitter
             return;
         }
-        if (owner_.settings.policies.spread_returns && reason == "no_slot_in_time") {
-            auto const now = loop_now(owner_.loop);
-            respond(unavailable, reason,
-                    plan_return(owner_.return_plans[service_],
-                                free_slot_interval(owner_.slot_flows[service_], now),
-                                deadline_ - now, owner_.random, now));
-            return;
-        }
         refuse(reason, reason == "refused" ? short_retry_after : long_retry_after);
     }
 
