--- a/scripts/day-losses.py
+++ b/scripts/day-losses.py
@@ -2,11 +2,12 @@
 """Shows second by second why streams of a played day were late or refused, from the gateways' and
 rank agents' structured logs.
 
-    scripts/day-losses.py LOG...      lines may have a prefix before the JSON object
+    scripts/day-losses.py [--by second|route|team] LOG...   lines may have a prefix before the JSON object
 
-Columns: second since the first line; streams that began in it; in time; late because of a pause, of
-the first event, or of both; refused attempts; streams running at the least and at the most; median
-limit of a group and streams reported to run, as gateways saw them; highest skew at a planned map change.
+Columns by second: second since the first line; streams that began in it; in time; late because of a
+pause, of the first event, or of both; failed; refused attempts; streams running at the least and at
+the most; median limit of a group and streams reported to run, as gateways saw them; highest skew at a
+planned map change. By route or team: the columns up to the refused attempts.
 """
 import argparse
 import collections
@@ -38,6 +39,25 @@
     return {(False, False): "in_time", (True, False): "first", (False, True): "pause"}.get((first, pause), "both")
 
 
+def outcomes_of(entry, first_event_ms, pause_ms):
+    """Returns the counters that the line adds to: none unless it ends a stream or refuses an attempt."""
+    event = entry.get("event")
+    if event == REFUSED:
+        return ["refused"]
+    if event in (ANSWERED, ABANDONED) and "first_event_ms" in entry:
+        return ["streams", lateness(entry, first_event_ms, pause_ms)]
+    return ["streams", "failed"] if event == FAILED and "first_event_ms" in entry else []
+
+
+def attribute_by(field, lines, first_event_ms, pause_ms):
+    """Returns counters by route or team."""
+    groups = collections.defaultdict(collections.Counter)
+    for _, entry in entries(lines):
+        for outcome in outcomes_of(entry, first_event_ms, pause_ms):
+            groups[entry.get(field, "")][outcome] += 1
+    return groups
+
+
 def attribute(lines, first_event_ms, pause_ms):
     """Returns counters by second."""
     seconds = collections.defaultdict(collections.Counter)
@@ -48,12 +68,10 @@
         origin = time if origin is None else origin
         at, event = time - origin, entry.get("event")
         began = at - entry.get("took_ms", 0) / 1000
+        for outcome in outcomes_of(entry, first_event_ms, pause_ms):
+            seconds[int(began)][outcome] += 1
         if event in (ANSWERED, FAILED, ABANDONED) and "first_event_ms" in entry:
-            seconds[int(began)][lateness(entry, first_event_ms, pause_ms)] += 1
-            seconds[int(began)]["streams"] += 1
             running.update(range(int(began * SAMPLES_PER_SECOND), int(at * SAMPLES_PER_SECOND)))
-        elif event == REFUSED:
-            seconds[int(began)]["refused"] += 1
         elif event == MAP_PLANNED:
             second = seconds[int(at)]
             second["skew"] = max(second["skew"], entry["skew_before"])
@@ -68,7 +86,15 @@
     return seconds
 
 
-COLUMNS = ["streams", "in_time", "pause", "first", "both", "refused", "least", "most", "limit", "reported", "skew"]
+OUTCOMES = ["streams", "in_time", "pause", "first", "both", "failed", "refused"]
+COLUMNS = [*OUTCOMES, "least", "most", "limit", "reported", "skew"]
+
+
+def print_table(title, columns, rows):
+    width = max([len(title), *(len(str(key)) for key in rows)])
+    print(f"{title:{width}} " + " ".join(f"{name:>8}" for name in columns))
+    for key, counts in sorted(rows.items()):
+        print(f"{key!s:>{width}} " + " ".join(f"{counts[name]:8.4g}" for name in columns))
 
 
 def main():
@@ -76,15 +102,18 @@
     parser.add_argument("logs", nargs="+", metavar="LOG")
     parser.add_argument("--first-event-ms", type=float, default=400, help="objective for the first event")
     parser.add_argument("--pause-ms", type=float, default=120, help="longest pause that is still in time")
+    parser.add_argument("--by", choices=["second", "route", "team"], default="second", help="what a row stands for")
     options = parser.parse_args()
     lines = []
     for path in options.logs:
         with open(path, encoding="utf-8", errors="replace") as file:
             lines += [line for line in file if '{"time"' in line]
     lines.sort(key=lambda line: line[line.find('{"time"'):][:40])
-    print("second " + " ".join(f"{name:>8}" for name in COLUMNS))
-    for second, counts in sorted(attribute(lines, options.first_event_ms, options.pause_ms).items()):
-        print(f"{second:6} " + " ".join(f"{counts[name]:8.4g}" for name in COLUMNS))
+    if options.by == "second":
+        print_table("second", COLUMNS, attribute(lines, options.first_event_ms, options.pause_ms))
+    else:
+        groups = attribute_by(options.by, lines, options.first_event_ms, options.pause_ms)
+        print_table(options.by, OUTCOMES, groups)
     return 0
 
 
--- a/tests/day_losses_test.py
+++ b/tests/day_losses_test.py
@@ -45,6 +45,19 @@
         self.assertEqual(began["most"], 4)
         self.assertEqual(began["least"], 0)
 
+    # A route whose streams are refused must not hide behind the other routes' sums.
+    def test_rows_by_route(self):
+        lines = [
+            line(2.0, 713, took_ms=1500, first_event_ms=300, longest_pause_ms=90, route='"r-a"'),
+            line(2.1, 715, took_ms=1500, first_event_ms=300, longest_pause_ms=90, route='"r-a"'),
+            line(2.4, 714, took_ms=100, route='"r-b"'),
+            line(2.6, 711, group_limit=400, group_running=380, route='"r-c"'),
+        ]
+        routes = day_losses.attribute_by("route", lines, 400, 120)
+        self.assertEqual(routes["r-a"], {"streams": 2, "in_time": 1, "failed": 1})
+        self.assertEqual(routes["r-b"], {"refused": 1})
+        self.assertNotIn("r-c", routes)
+
     def test_a_log_without_streams_gives_no_rows(self):
         self.assertEqual(day_losses.attribute([], 400, 120), {})
 
