--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -323,8 +323,7 @@
 }
 
 // Stops the loop once no more callers are accepted and all calls have ended, or when the grace
-// period is nearly over. Returns
-// whether the gateway keeps running.
+// period is nearly over. Returns whether the gateway keeps running.
 bool check_stop(gateway_daemon& daemon) {
     auto& owner = daemon.state;
     if (!owner.stopping) {
