--- a/tests/gateway_admission_test.cpp
+++ b/tests/gateway_admission_test.cpp
@@ -244,10 +244,11 @@
         unsigned ranks;
         unsigned gateways;
     };
-    for (auto const [ranks, gateways] : {group_size{4, 3}, {12, 9}, {128, 97}}) {
+    for (auto const& size : {group_size{4, 3}, {12, 9}, {128, 97}}) {
+        unsigned const ranks = size.ranks;
         simulated_load load;
         load.ranks = ranks;
-        load.gateways = gateways;
+        load.gateways = size.gateways;
         load.streams_per_second = 9.5 * ranks;
         load.shift_period_ms = 1'000;
         load.hold = false;
