--- a/src/consensus.h
+++ b/src/consensus.h
@@ -174,7 +174,7 @@
 struct consensus_state {
     std::string name;
     std::uint64_t disk{0};
-    /// Names of the configured replicas, including this one; sorted.
+    /// Names of the replicas that may be members, including this one; sorted.
     std::vector<std::string> peers;
     std::vector<std::string> discovery_contacts; ///< further replicas to send a hello to
     consensus_settings settings;
--- a/src/entryd.cpp
+++ b/src/entryd.cpp
@@ -25,7 +25,7 @@
 constexpr duration membership_period = std::chrono::milliseconds{200};
 constexpr duration core_period = std::chrono::milliseconds{20};
 constexpr duration subset_period = std::chrono::seconds{1};
-// With 400 entries, the control leader then answers 200 reads per second.
+// Each entry reads once in a period; 400 entries ask the control leader 200 times per second.
 constexpr duration quarantine_period = std::chrono::seconds{2};
 constexpr duration claim_timeout = std::chrono::milliseconds{900};
 constexpr duration quarantine_read_timeout = std::chrono::seconds{2};
