--- a/src/engineclient.cpp
+++ b/src/engineclient.cpp
@@ -42,9 +42,9 @@
         }
         return true;
     };
-    callbacks.on_end = [call](exchange_result exchange_outcome) {
+    callbacks.on_end = [call](exchange_end const& end) {
         call->exchange.reset();
-        call->finish(exchange_outcome == exchange_result::complete
+        call->finish(end.result == exchange_result::complete
                          ? std::optional{std::move(call->response)}
                          : std::nullopt);
     };
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -91,6 +91,32 @@
     return "";
 }
 
+char const* name_of(body_framing framing) {
+    switch (framing) {
+    case body_framing::none:
+        return "none";
+    case body_framing::length:
+        return "length";
+    case body_framing::chunks:
+        return "chunks";
+    case body_framing::connection:
+        return "connection";
+    }
+    return "";
+}
+
+char const* name_of(connection_end end) {
+    switch (end) {
+    case connection_end::open:
+        return "open";
+    case connection_end::closed:
+        return "closed";
+    case connection_end::failed:
+        return "failed";
+    }
+    return "";
+}
+
 /// Why a request is not sent at once.
 enum class wait_cause : std::uint8_t {
     none,
@@ -443,6 +469,7 @@
         sent_at_ = now;
         response_.reset();
         response_body_.clear();
+        exchange_end_ = {};
         log_bounded(owner_.loop, events::call_attempt,
                     {{"call", headers_.attempt_id},
                      {"request", fingerprint_},
@@ -488,7 +515,7 @@
         auto const self = shared_from_this();
         return {[self](message_head const& head) { return self->on_head(head); },
                 [self](std::string const& bytes) { return self->on_body(bytes); },
-                [self](exchange_result how) { self->on_exchange_end(how); }};
+                [self](exchange_end const& end) { self->on_exchange_end(end); }};
     }
 
     // Returns false for a response to another request, left over on the connection; it is skipped.
@@ -566,7 +593,7 @@
     // Ends an exchange that exceeded a size limit; the target is avoided for a while.
     void abort_oversized_response() {
         exchange_->cancel();
-        on_exchange_end(exchange_result::response_failed);
+        on_exchange_end({exchange_result::response_failed});
     }
 
     void write_events(std::string const& events) {
@@ -628,9 +655,11 @@
         }
     }
 
-    void on_exchange_end(exchange_result how) {
+    void on_exchange_end(exchange_end const& end) {
         exchange_.reset();
+        exchange_end_ = end;
         release_slot();
+        auto const how = end.result;
         if (how == exchange_result::complete) {
             on_complete();
             return;
@@ -743,6 +772,7 @@
     }
 
     void finish_stream() {
+        partial_bytes_ = splitter_.partial.size();
         write_events(std::exchange(splitter_.partial, {}));
         if (!progress_.answer_started) {
             writer_->start(response_head_.status, response_head_.reason,
@@ -796,6 +826,7 @@
 
     void finish_attempt(attempt_result result) {
         count_attempt(result);
+        auto const partial_bytes = splitter_.partial.size();
         discard_partial(splitter_);
         auto const action =
             decide_after_attempt(progress_, result, time_left() > min_time_left, [this] {
@@ -808,6 +839,9 @@
                      {"target", target_id_},
                      {"end", name_of(result)},
                      {"status", response_ ? response_->status : 0},
+                     {"framing", name_of(exchange_end_.framing)},
+                     {"connection", name_of(exchange_end_.connection)},
+                     {"partial_bytes", partial_bytes},
                      {"after_ms", in_millis(loop_now(owner_.loop) - sent_at_)},
                      {"step", name_of(action)}});
         count(*owner_.metrics, "fireflycrank_attempts_failed_total",
@@ -925,7 +959,12 @@
             fields.emplace_back("queued", queued_call_count(owner_.queue, service_));
             fields.emplace_back("slot_interval_ms", in_millis(interval));
         }
+        if (response_) {
+            fields.emplace_back("framing", name_of(exchange_end_.framing));
+            fields.emplace_back("connection", name_of(exchange_end_.connection));
+        }
         if (first_event_at_ != time_point{}) {
+            fields.emplace_back("partial_bytes", partial_bytes_);
             fields.emplace_back("first_event_ms",
                                 in_millis(first_event_at_ - request_.first_byte_at));
             fields.emplace_back("events", splitter_.event_count);
@@ -981,6 +1020,8 @@
     std::uint64_t queue_id_{0};
     bool waiting_for_config_{false};
     std::shared_ptr<target_exchange> exchange_;
+    exchange_end exchange_end_;    ///< of the last attempt that ended
+    std::size_t partial_bytes_{0}; ///< of an incomplete event when the stream ended
     std::optional<target_response> response_;
     message_head response_head_;
     std::string response_body_;
--- a/src/httpmessage.cpp
+++ b/src/httpmessage.cpp
@@ -192,6 +192,15 @@
     return parts_->visit([](auto& parser) { return parser.need_eof(); });
 }
 
+body_framing message_reader::framing() const {
+    return parts_->visit([](auto& parser) {
+        return parser.need_eof()         ? body_framing::connection
+               : parser.chunked()        ? body_framing::chunks
+               : parser.content_length() ? body_framing::length
+                                         : body_framing::none;
+    });
+}
+
 bool message_reader::keep_alive() const {
     return parts_->visit([](auto& parser) { return parser.keep_alive(); });
 }
--- a/src/httpmessage.h
+++ b/src/httpmessage.h
@@ -47,6 +47,14 @@
 
 enum class http_kind { request, response };
 
+/// What marks the end of a message's body.
+enum class body_framing : std::uint8_t {
+    none, ///< the message has no body
+    length,
+    chunks,
+    connection ///< neither a length nor chunks: the body ends with its connection
+};
+
 enum class read_fault {
     none,
     malformed,
@@ -87,6 +95,8 @@
     [[nodiscard]] bool complete() const;
     /// Whether the message ends with its connection.
     [[nodiscard]] bool ends_with_connection() const;
+    /// What marks the end of the body; valid once head_complete().
+    [[nodiscard]] body_framing framing() const;
     /// Whether the connection may carry another message.
     [[nodiscard]] bool keep_alive() const;
     /// The head; valid once head_complete().
--- a/src/targetpool.cpp
+++ b/src/targetpool.cpp
@@ -107,6 +107,7 @@
                 return;
             }
             if (failed) {
+                self->connection_ = connection_end::failed;
                 self->end(exchange_result::not_connected);
                 return;
             }
@@ -168,7 +169,8 @@
         }
         auto const notify = std::exchange(callbacks_, {}).on_end;
         if (notify) {
-            notify(outcome);
+            auto const framing = head_delivered_ ? reader_.framing() : body_framing::none;
+            notify({outcome, framing, connection_});
         }
     }
 
@@ -202,6 +204,7 @@
             process_bytes(std::string_view{chunk_.data(), size});
             return;
         }
+        connection_ = failed == net::error::eof ? connection_end::closed : connection_end::failed;
         if (failed == net::error::eof && reader_.head_complete() &&
             reader_.put_eof() == read_fault::none) {
             deliver();
@@ -291,6 +294,7 @@
     std::chrono::milliseconds idle_limit_{default_idle_limit};
     unsigned skipped_responses_{0};
     std::size_t skipped_bytes_{0};
+    connection_end connection_{connection_end::open};
     bool request_sent_{false};
     bool head_delivered_{false};
     bool skipping_{false};
--- a/src/targetpool.h
+++ b/src/targetpool.h
@@ -23,6 +23,20 @@
     response_failed ///< the response ended early or was not valid HTTP
 };
 
+/// State of the connection when an exchange ended.
+enum class connection_end : std::uint8_t {
+    open,
+    closed, ///< the target closed it in an orderly way
+    failed  ///< reset, timed out, or never opened
+};
+
+/// How an exchange ended.
+struct exchange_end {
+    exchange_result result{exchange_result::not_connected};
+    body_framing framing{body_framing::none}; ///< of the response; `none` before its head
+    connection_end connection{connection_end::open};
+};
+
 /// A request to a target.
 struct target_request {
     std::string address;
@@ -42,7 +56,7 @@
     /// Called with bytes of the body. Returning false pauses reading until resume().
     std::function<bool(std::string)> on_body;
     /// Called once, after all other callbacks.
-    std::function<void(exchange_result)> on_end;
+    std::function<void(exchange_end const&)> on_end;
 };
 
 /// Result of target_pool::probe().
--- a/tests/gateway_endless_test.cpp
+++ b/tests/gateway_endless_test.cpp
@@ -98,7 +98,7 @@
         return head.status == 200;
     };
     events.on_body = [](std::string const&) { return true; };
-    events.on_end = [&](exchange_result how) { outcome.end = how; };
+    events.on_end = [&](exchange_end const& end) { outcome.end = end.result; };
     auto const call = pool.start({target.address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false,
                                   milliseconds{2'000}, milliseconds{2'000}},
                                  std::move(events));
--- a/tests/gateway_socket_test.cpp
+++ b/tests/gateway_socket_test.cpp
@@ -113,7 +113,7 @@
                 record.body += bytes;
                 return true;
             },
-            [&record](exchange_result outcome) { record.end = outcome; }};
+            [&record](exchange_end const& end) { record.end = end.result; }};
 }
 
 target_request request_to(std::string const& address, std::string const& bytes) {
