--- a/tests/gateway_socket_test.cpp
+++ b/tests/gateway_socket_test.cpp
@@ -3,11 +3,11 @@
 #include "eventloop.h"
 #include "httplistener.h"
 #include "peerlink.h"
+#include "rawsocket.h"
 #include "targetpool.h"
 
 #include <doctest/doctest.h>
 
-#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,85 +19,6 @@
 
 using std::chrono::milliseconds;
 
-// Runs the loop until a condition holds. The bound only ends a test that would otherwise hang.
-template <class condition>
-bool run_until(event_loop& loop, condition&& holds) {
-    constexpr int rounds = 5'000;
-    for (int round = 0; round < rounds && !holds(); ++round) {
-        loop.context.restart();
-        loop.context.run_for(milliseconds{2});
-    }
-    return holds();
-}
-
-// Runs the loop long enough for all bytes in transit to arrive.
-void run_briefly(event_loop& loop) {
-    loop.context.restart();
-    loop.context.run_for(milliseconds{100});
-}
-
-std::uint16_t free_port() {
-    net::io_context context;
-    tcp::acceptor acceptor{context, tcp::endpoint{net::ip::address_v4::loopback(), 0}};
-    return acceptor.local_endpoint().port();
-}
-
-std::string address_of(std::uint16_t port) {
-    return "127.0.0.1:" + std::to_string(port);
-}
-
-// A caller's or target's end of a connection as a plain socket, so that the test controls every
-// byte.
-struct raw_connection {
-    explicit raw_connection(event_loop& loop) : socket{loop.context} {}
-    tcp::socket socket;
-    std::string received;
-    bool ended{false};
-    net_error failure;
-    std::array<char, 4096> chunk{};
-
-    void read() {
-        socket.async_read_some(net::buffer(chunk), [this](net_error failed, std::size_t size) {
-            received.append(chunk.data(), size);
-            ended = static_cast<bool>(failed);
-            failure = failed;
-            if (!failed) {
-                read();
-            }
-        });
-    }
-
-    void write(std::string const& bytes) { net::write(socket, net::buffer(bytes)); }
-
-    void reset() {
-        socket.set_option(net::socket_base::linger{true, 0});
-        socket.close();
-    }
-};
-
-struct raw_target {
-    explicit raw_target(event_loop& loop)
-        : acceptor{loop.context, tcp::endpoint{net::ip::address_v4::loopback(), 0}} {
-        address = address_of(acceptor.local_endpoint().port());
-        accept(loop);
-    }
-    tcp::acceptor acceptor;
-    std::string address;
-    std::vector<std::unique_ptr<raw_connection>> peers;
-
-    void accept(event_loop& loop) {
-        auto peer = std::make_unique<raw_connection>(loop);
-        auto& socket = peer->socket;
-        acceptor.async_accept(socket, [this, &loop, accepted = peer.release()](net_error failed) {
-            peers.emplace_back(accepted);
-            if (!failed) {
-                accepted->read();
-                accept(loop);
-            }
-        });
-    }
-};
-
 struct call_record {
     std::vector<unsigned> heads;
     std::string body;
