Gateway: recognize events whose lines end with CR LF or CR

The splitter searched for two LF only. Of a stream whose lines end with CR LF it forwarded nothing (a program around the old splitter: 0 of 2 events, 36 bytes kept) until the stream ended; then the whole stream was passed on as one incomplete event. The format of event streams allows all three line ends. Test: every split of a stream, for all three line ends.

--- a/src/eventsplit.h
+++ b/src/eventsplit.h
@@ -14,17 +14,22 @@
 struct event_splitter {
     std::string partial;          ///< bytes of an incomplete event
     std::size_t scanned_bytes{0}; ///< leading bytes of `partial` known to contain no terminator
+    std::size_t line_start{0};    ///< in `partial`: start of the line that the next bytes continue
+    char last_forwarded{'\0'};    ///< last byte before `partial`
     std::size_t duplicate_bytes{
         0}; ///< bytes of duplicate events dropped since the last forwarded event
     std::optional<std::uint64_t> last_id; ///< id of the last forwarded event
     std::uint64_t event_count{0};         ///< number of forwarded events
 };
 
-/// Adds bytes that a target sent.
+/// Adds bytes that a target sent. An event ends with an empty line; lines end with LF, CR LF or CR.
 /// @param bytes body bytes after transfer decoding
 /// @return complete events to forward, without events whose id the caller already has
 std::string split_events(event_splitter& splitter, std::string_view bytes);
 
+/// Whether the last event is incomplete: its empty line has not arrived.
+bool is_inside_event(event_splitter const& splitter);
+
 /// Whether an incomplete event or a run of duplicate events has exceeded its size limit. Such a
 /// target may never send anything that can be forwarded.
 /// @return true if the gateway should abandon the target
