Gateway: an event that its stream cuts breaks the stream, whatever delimits it

What callers saw: a stream that ended inside an event arrived with the incomplete event and the last chunk, as a whole 200. Cause: finish_stream() passed on what the splitter still held, and nobody asked whether an event was complete. The run also counted as one to its end: it spoke for its request in the quarantine table and for its target. Fix: responseend judges a response before it counts as answered. One that ends inside an event, or that is resumed after an event that came incomplete and does not send that event, is broken: it is resumed where the route allows, otherwise the caller's answer is broken off. Where the target ended, the lost run is reported like any other.

--- a/src/eventsplit.cpp
+++ b/src/eventsplit.cpp
@@ -31,6 +31,10 @@
     return std::nullopt;
 }
 
+bool is_inside_event(event_splitter const& splitter) {
+    return splitter.partial.find_first_not_of(line_ends) != std::string::npos;
+}
+
 // Searches `partial` from `scanned_bytes` on for the end of an event and returns the position after
 // its empty line.
 std::optional<std::size_t> find_event_end(event_splitter& splitter) {
@@ -65,6 +69,7 @@
     }
     bool const only_empty_line = event.find_first_not_of(line_ends) == std::string_view::npos;
     splitter.event_count += only_empty_line ? 0 : 1;
+    splitter.owes_event = splitter.owes_event && only_empty_line;
     out.append(event);
 }
 
@@ -86,8 +91,8 @@
     return complete;
 }
 
-bool is_inside_event(event_splitter const& splitter) {
-    return splitter.partial.find_first_not_of(line_ends) != std::string::npos;
+bool is_cut(event_splitter const& splitter) {
+    return splitter.owes_event || is_inside_event(splitter);
 }
 
 bool exceeds_limits(event_splitter const& splitter) {
@@ -96,6 +101,7 @@
 }
 
 void discard_partial(event_splitter& splitter) {
+    splitter.owes_event = is_cut(splitter);
     splitter.partial.clear();
     splitter.scanned_bytes = 0;
     splitter.line_start = 0;
--- a/src/eventsplit.h
+++ b/src/eventsplit.h
@@ -20,6 +20,7 @@
         0}; ///< bytes of duplicate events dropped since the last forwarded event
     std::optional<std::uint64_t> last_id; ///< id of the last forwarded event
     std::uint64_t event_count{0};         ///< number of forwarded events
+    bool owes_event{false}; ///< the event after the last forwarded one was discarded incomplete
 };
 
 /// Adds bytes that a target sent. An event ends with an empty line; lines end with LF, CR LF or CR.
@@ -27,8 +28,9 @@
 /// @return complete events to forward, without events whose id the caller already has
 std::string split_events(event_splitter& splitter, std::string_view bytes);
 
-/// Whether the last event is incomplete: its empty line has not arrived.
-bool is_inside_event(event_splitter const& splitter);
+/// Whether the stream goes on for certain: it ended inside an event, or an event that was discarded
+/// incomplete has not been received again.
+bool is_cut(event_splitter const& splitter);
 
 /// Whether an incomplete event or a run of duplicate events has exceeded its size limit. Such a
 /// target may never send anything that can be forwarded.
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -2,6 +2,7 @@
 #include "eventsplit.h"
 #include "gateway.h"
 #include "platform/callheaders.h"
+#include "responseend.h"
 
 #include <algorithm>
 
@@ -664,16 +665,8 @@
             on_complete();
             return;
         }
-        auto const now = loop_now(owner_.loop);
-        if (auto* const known = current_target()) {
-            record_failure(*known, owner_.target_selection, now);
-            bool const fully_sent =
-                how == exchange_result::no_response || how == exchange_result::response_failed;
-            // A draining target aborts its unfinished requests, which is no sign of a crash.
-            if (fully_sent && known->announcement.state == target_phase::ready) {
-                record_lost_run(*known, now);
-            }
-        }
+        record_failed_exchange(how == exchange_result::no_response ||
+                               how == exchange_result::response_failed);
         switch (how) {
         case exchange_result::not_connected:
             finish_attempt(attempt_result::not_connected);
@@ -689,6 +682,19 @@
         }
     }
 
+    void record_failed_exchange(bool fully_sent) {
+        auto* const known = current_target();
+        if (known == nullptr) {
+            return;
+        }
+        auto const now = loop_now(owner_.loop);
+        record_failure(*known, owner_.target_selection, now);
+        // A draining target aborts its unfinished requests, which is no sign of a crash.
+        if (fully_sent && known->announcement.state == target_phase::ready) {
+            record_lost_run(*known, now);
+        }
+    }
+
     void record_lost_run(target_view const& known, time_point now) {
         lost_run run{fingerprint_,
                      target_id_,
@@ -712,6 +718,15 @@
             finish_attempt(attempt_result::lost);
             return;
         }
+        if (judge_response_end({is_streaming(), is_cut(splitter_)}) == response_verdict::broken) {
+            record_failed_exchange(true);
+            finish_attempt(attempt_result::broken);
+            return;
+        }
+        finish_response();
+    }
+
+    void finish_response() {
         record_finished(owner_.crashes, fingerprint_, loop_now(owner_.loop));
         bool const bad =
             response_->status >= first_server_error && response_->status != gateway_timeout;
@@ -772,8 +787,7 @@
     }
 
     void finish_stream() {
-        partial_bytes_ = splitter_.partial.size();
-        write_events(std::exchange(splitter_.partial, {}));
+        write_events(std::exchange(splitter_.partial, {})); // empty lines at the end
         if (!progress_.answer_started) {
             writer_->start(response_head_.status, response_head_.reason,
                            platform::encode_caller_headers(response_head_));
@@ -964,7 +978,6 @@
             fields.emplace_back("connection", name_of(exchange_end_.connection));
         }
         if (first_event_at_ != time_point{}) {
-            fields.emplace_back("partial_bytes", partial_bytes_);
             fields.emplace_back("first_event_ms",
                                 in_millis(first_event_at_ - request_.first_byte_at));
             fields.emplace_back("events", splitter_.event_count);
@@ -1020,8 +1033,7 @@
     std::uint64_t queue_id_{0};
     bool waiting_for_config_{false};
     std::shared_ptr<target_exchange> exchange_;
-    exchange_end exchange_end_;    ///< of the last attempt that ended
-    std::size_t partial_bytes_{0}; ///< of an incomplete event when the stream ended
+    exchange_end exchange_end_; ///< of the last attempt that ended
     std::optional<target_response> response_;
     message_head response_head_;
     std::string response_body_;
--- a/tests/gateway_endless_test.cpp
+++ b/tests/gateway_endless_test.cpp
@@ -212,7 +212,7 @@
                 at += size;
             }
             CHECK(events + splitter.partial == stream);
-            CHECK_FALSE(is_inside_event(splitter));
+            CHECK_FALSE(is_cut(splitter));
             CHECK(splitter.event_count == 40);
             CHECK(splitter.last_id.value_or(0) == splitter.event_count);
         }
