Gateway: the end of the connection is the end of a response only if the target still runs

Plain responses without framing arrived cut, as whole ones with a length. Cause: target_pool takes an orderly end of the connection for the end of a response with neither a length nor chunks, and a process that crashes closes its connections in the same way. Fix: such a stream without an event is broken. Any other such response is checked: the gateway connects to the target again, which takes one round trip (0.3 s at most), after all events have been passed on; the connection is kept for a later request. Only a target that accepts it has sent a whole response. What is left: an end between two events at a target that keeps running cannot be told from a whole stream.

--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -461,6 +461,7 @@
             prior_crash_id_ = last_crash_id(owner_.crashes, fingerprint_);
         }
         auto& chosen = owner_.targets.at(target_id_);
+        target_address_ = chosen.announcement.address;
         ++chosen.own_in_flight;
         holds_slot_ = true;
         group_name_ = chosen.group ? chosen.group->name : std::string{};
@@ -502,7 +503,7 @@
         fields.priority = is_late() ? std::max(priority_.value_or(0), late_priority) : priority_;
         fields.last_event_id = splitter_.last_id;
         target_request out;
-        out.address = chosen.announcement.address;
+        out.address = target_address_;
         out.bytes = format_request(request_.head.method, request_.head.target,
                                    platform::encode_target_headers(request_.head, fields),
                                    request_.body, request_.declares_body);
@@ -718,12 +719,58 @@
             finish_attempt(attempt_result::lost);
             return;
         }
-        if (judge_response_end({is_streaming(), is_cut(splitter_)}) == response_verdict::broken) {
-            record_failed_exchange(true);
-            finish_attempt(attempt_result::broken);
+        judge_response(std::nullopt);
+    }
+
+    // Finishes a complete response, or ends the attempt whose target broke it off.
+    // @param target_runs whether the target was found running after the response ended
+    void judge_response(std::optional<bool> target_runs) {
+        response_end end;
+        end.framing = exchange_end_.framing;
+        end.stream = is_streaming();
+        end.cut = is_cut(splitter_);
+        end.has_event = splitter_.event_count > 0 || splitter_.last_id;
+        end.target_runs = target_runs;
+        auto const verdict = judge_response_end(end);
+        if (verdict == response_verdict::check_target) {
+            check_response_target();
+            return;
+        }
+        if (end.framing == body_framing::connection) {
+            log_response_end(end, verdict);
+        }
+        if (verdict == response_verdict::complete) {
+            finish_response();
             return;
         }
-        finish_response();
+        record_failed_exchange(true);
+        finish_attempt(attempt_result::broken);
+    }
+
+    // Connects to the target again. The connection is kept for a later request, which needs one,
+    // since this response has used up its own.
+    void check_response_target() {
+        progress_.may_have_run = true; // the call may end before the check does
+        owner_.pool.probe(target_address_, connect_timeout,
+                          [weak = weak_from_this()](target_probe_result found) {
+                              auto const self = weak.lock();
+                              if (self && !self->ended_) {
+                                  self->judge_response(found == target_probe_result::connected);
+                              }
+                          });
+    }
+
+    void log_response_end(response_end const& end, response_verdict verdict) {
+        char const* const found = !end.target_runs ? "unknown" : *end.target_runs ? "yes" : "no";
+        log_bounded(owner_.loop, events::response_end_judged,
+                    {{"call", headers_.attempt_id},
+                     {"request", fingerprint_},
+                     {"target", target_id_},
+                     {"stream", end.stream},
+                     {"events", splitter_.event_count},
+                     {"cut", end.cut},
+                     {"target_runs", found},
+                     {"complete", verdict == response_verdict::complete}});
     }
 
     void finish_response() {
@@ -1025,6 +1072,7 @@
     std::vector<std::string> excluded_;      ///< those of them that must not be tried again
     unsigned sends_{0};
     std::string target_id_;
+    std::string target_address_;
     std::string group_name_;        ///< of the target; empty if it has none
     std::string passed_event_from_; ///< target of the last forwarded event
     bool holds_slot_{false};
--- a/tests/gateway_unframed_test.cpp
+++ b/tests/gateway_unframed_test.cpp
@@ -2,6 +2,7 @@
 // route allows, the caller gets the whole response or sees that it is not whole.
 #include "gateway.h"
 #include "rawsocket.h"
+#include "responseend.h"
 
 #include <doctest/doctest.h>
 
@@ -293,6 +294,27 @@
     }
 }
 
+// Guards against a verdict without evidence: a target that does not answer the check in time may
+// have ended together with its VM.
+TEST_CASE("a response that ends with its connection is complete only if its target still runs") {
+    for (bool const stream : {false, true}) {
+        for (bool const has_event : {false, true}) {
+            response_end end{body_framing::connection, stream, false, has_event, std::nullopt};
+            bool const lacks_event = stream && !has_event;
+            CHECK(judge_response_end(end) ==
+                  (lacks_event ? response_verdict::broken : response_verdict::check_target));
+            end.target_runs = false;
+            CHECK(judge_response_end(end) == response_verdict::broken);
+            end.target_runs = true;
+            CHECK(judge_response_end(end) ==
+                  (lacks_event ? response_verdict::broken : response_verdict::complete));
+            end.cut = stream;
+            CHECK(judge_response_end(end) ==
+                  (stream ? response_verdict::broken : response_verdict::complete));
+        }
+    }
+}
+
 // A response without a body is whole with its head, whatever happens to the connection after it.
 TEST_CASE("a response to HEAD is whole without a body") {
     for (auto const close : {response_close::orderly, response_close::reset}) {
