Gateway: a stream without framing ends broken if its group broke meanwhile

Fix: the gateway compares the incarnation and the group's epoch and state with those at the time of sending. Agents report them within half a second, and ranks stall longer than that before they cut anything off, so this costs no delay.

--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -461,7 +461,7 @@
             prior_crash_id_ = last_crash_id(owner_.crashes, fingerprint_);
         }
         auto& chosen = owner_.targets.at(target_id_);
-        target_address_ = chosen.announcement.address;
+        sent_to_ = {chosen.announcement.address, chosen.announcement.started_at, chosen.group};
         ++chosen.own_in_flight;
         holds_slot_ = true;
         group_name_ = chosen.group ? chosen.group->name : std::string{};
@@ -503,7 +503,7 @@
         fields.priority = is_late() ? std::max(priority_.value_or(0), late_priority) : priority_;
         fields.last_event_id = splitter_.last_id;
         target_request out;
-        out.address = target_address_;
+        out.address = sent_to_.address;
         out.bytes = format_request(request_.head.method, request_.head.target,
                                    platform::encode_target_headers(request_.head, fields),
                                    request_.body, request_.declares_body);
@@ -730,6 +730,7 @@
         end.stream = is_streaming();
         end.cut = is_cut(splitter_);
         end.has_event = splitter_.event_count > 0 || splitter_.last_id;
+        end.target_changed = target_changed();
         end.target_runs = target_runs;
         auto const verdict = judge_response_end(end);
         if (verdict == response_verdict::check_target) {
@@ -747,11 +748,25 @@
         finish_attempt(attempt_result::broken);
     }
 
+    // Whether the target has restarted, or its group has broken, since the request was sent. All
+    // ranks of a group break off their streams when one rank ends, and keep running.
+    [[nodiscard]] bool target_changed() {
+        auto const* const known = current_target();
+        if (known == nullptr) {
+            return false;
+        }
+        auto const& group = known->group;
+        bool const group_broke = group && sent_to_.group && group->name == sent_to_.group->name &&
+                                 (group->epoch != sent_to_.group->epoch ||
+                                  (!group->open && group->reported_at > sent_at_));
+        return group_broke || known->announcement.started_at != sent_to_.started_at;
+    }
+
     // Connects to the target again. The connection is kept for a later request, which needs one,
     // since this response has used up its own.
     void check_response_target() {
         progress_.may_have_run = true; // the call may end before the check does
-        owner_.pool.probe(target_address_, connect_timeout,
+        owner_.pool.probe(sent_to_.address, connect_timeout,
                           [weak = weak_from_this()](target_probe_result found) {
                               auto const self = weak.lock();
                               if (self && !self->ended_) {
@@ -769,6 +784,7 @@
                      {"stream", end.stream},
                      {"events", splitter_.event_count},
                      {"cut", end.cut},
+                     {"target_changed", end.target_changed},
                      {"target_runs", found},
                      {"complete", verdict == response_verdict::complete}});
     }
@@ -1042,6 +1058,13 @@
 
     static constexpr unsigned misdirected_request = 421;
 
+    /// The target when the request was sent to it.
+    struct incarnation_sent_to {
+        std::string address;
+        wall_time started_at{};
+        std::optional<group_membership> group;
+    };
+
     gateway& owner_;
     incoming_request request_;
     std::shared_ptr<response_writer> writer_;
@@ -1072,7 +1095,7 @@
     std::vector<std::string> excluded_;      ///< those of them that must not be tried again
     unsigned sends_{0};
     std::string target_id_;
-    std::string target_address_;
+    incarnation_sent_to sent_to_;
     std::string group_name_;        ///< of the target; empty if it has none
     std::string passed_event_from_; ///< target of the last forwarded event
     bool holds_slot_{false};
--- a/src/responseend.cpp
+++ b/src/responseend.cpp
@@ -9,7 +9,7 @@
     if (end.framing != body_framing::connection) {
         return response_verdict::complete;
     }
-    if (end.stream && !end.has_event) {
+    if (end.target_changed || (end.stream && !end.has_event)) {
         return response_verdict::broken;
     }
     if (!end.target_runs) {
--- a/src/responseend.h
+++ b/src/responseend.h
@@ -19,6 +19,8 @@
     /// arrived before it was resumed.
     bool cut{false};
     bool has_event{false}; ///< the response, or the one that it resumes, contains an event
+    /// Since the request was sent, the target has restarted or its group has broken.
+    bool target_changed{false};
     /// Whether the target still accepts connections; nothing before that has been tried.
     std::optional<bool> target_runs;
 };
--- a/tests/gateway_unframed_test.cpp
+++ b/tests/gateway_unframed_test.cpp
@@ -288,6 +288,7 @@
         world.owner.targets.at("first").group = group_membership{"g", 4, 0, true, {}};
         run_after(world.owner.loop, std::chrono::milliseconds{60}, [&] {
             world.owner.targets.at("first").group->epoch = 5;
+            world.owner.targets.at("second").group = group_membership{"h", 1, 0, true, {}};
             world.first.peers.at(0)->socket.shutdown(tcp::socket::shutdown_send);
         });
         check_broken(route, world.call(route));
@@ -299,7 +300,7 @@
 TEST_CASE("a response that ends with its connection is complete only if its target still runs") {
     for (bool const stream : {false, true}) {
         for (bool const has_event : {false, true}) {
-            response_end end{body_framing::connection, stream, false, has_event, std::nullopt};
+            response_end end{body_framing::connection, stream, false, has_event, false, {}};
             bool const lacks_event = stream && !has_event;
             CHECK(judge_response_end(end) ==
                   (lacks_event ? response_verdict::broken : response_verdict::check_target));
@@ -308,6 +309,9 @@
             end.target_runs = true;
             CHECK(judge_response_end(end) ==
                   (lacks_event ? response_verdict::broken : response_verdict::complete));
+            end.target_changed = true;
+            CHECK(judge_response_end(end) == response_verdict::broken);
+            end.target_changed = false;
             end.cut = stream;
             CHECK(judge_response_end(end) ==
                   (stream ? response_verdict::broken : response_verdict::complete));
