Soak: responses without framing, orderly ends of crashes, streams that are cut

A quarter of the stand-ins' responses has neither a length nor chunks. Half of the crashes close connections in an orderly way. Ranks whose group broke cut such streams between two events, and a new fault cuts them inside an event. Stand-ins corrected on the way: an aborted connection now is a reset (it was an orderly close when nothing was unread), a cut link delivers nothing after a gap, and agents know their targets by the address that these announce (without it gateways had no load report and no state of a group).

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -157,7 +157,8 @@
                 name, zone = f"m{n}", ZONES[n % 3]
                 runner = standins.Runner(self, name, f"{self.target_net}.0.{n}", TARGET_PORT, "model", zone, group, rank)
                 self.targets.append(runner)
-                extra = ["listen: {}", "data_dir: null", f"app: '{self.target_net}.0.{n}:{TARGET_PORT}'", "service: model"]
+                # The address that the runner announces, by which an agent finds its target in the directory.
+                extra = ["listen: {}", "data_dir: null", f"app: '{self.proxy_net}.0.{n}:{TARGET_PORT}'", "service: model"]
                 self.add("rank-agent", f"side-{n}", f"{self.own_net}.2.{n}", zone, extra)
         for n in range(1, 3):
             self.targets.append(
@@ -443,6 +444,7 @@
             self.drain_runner,
             self.lose_answers,
             self.shed,
+            self.cut_streams,
             self.lie_on_health,
             self.lose_orders,
             self.change_config,
@@ -623,6 +625,12 @@
         await asyncio.sleep(self.random.uniform(0.5, 3.0))
         target.shed = 0.0
 
+    async def cut_streams(self):
+        target = self.target()
+        target.cut_streams = 0.5
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        target.cut_streams = 0.0
+
     async def lie_on_health(self):
         target = self.target()
         target.lying_health = True
@@ -702,6 +710,7 @@
     for target in fleet.targets:
         if target.up:
             target.crash()
+        target.ends_orderly = False  # the loop ends before an orderly close would
         target.proxy.reset()
 
 
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -7,6 +7,8 @@
 import hashlib
 import json
 import random
+import socket
+import struct
 import time
 
 READ_LIMIT = 1 << 20  # bytes of one message
@@ -15,6 +17,8 @@
 ORDER_SECONDS = 0.03  # work of one order
 SLOTS = 12  # requests that a runner serves at once
 RANKS = 4  # runners of a group
+UNFRAMED_SHARE = 0.25  # answers with neither a length nor chunks; they end with their connection
+ORDERLY_SHARE = 0.5  # crashes that close connections in an orderly way instead of with a reset
 SETS, EXPERTS, PLACEMENTS = 2, 8, 3  # sets of layers, experts of a set, places of a rank and set
 
 
@@ -44,6 +48,26 @@
     writer.write("\r\n".join(lines).encode() + body)
 
 
+def reset(writer):
+    """Resets a connection. Aborting its transport alone closes it in an orderly way if nothing is left unread."""
+    try:
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    except OSError:
+        pass  # its peer has ended it
+    writer.transport.abort()
+
+
+def start_unframed(writer, fields):
+    writer.write("\r\n".join(["HTTP/1.1 200 -", "Connection: close", *fields, "", ""]).encode())
+
+
+async def end_orderly(writer):
+    """Closes a connection so that its peer reads all bytes and then the end."""
+    await writer.drain()
+    writer.close()
+    await writer.wait_closed()
+
+
 def signature_of(attempt, instance):
     return hashlib.sha256(f"{attempt}/{instance}".encode()).hexdigest()[:16]
 
@@ -122,22 +146,26 @@
             self.pairs.discard(pair)
 
     async def pump(self, reader, writer, direction):
+        lost = False
         try:
             while block := await reader.read(65536):
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 if direction in self.cut:
-                    continue  # lost: such a connection stays silent
+                    lost = True  # such a connection stays silent, also at its end
+                if lost:
+                    continue
                 writer.write(block)
                 await writer.drain()
-            writer.close()
+            if not lost:
+                writer.close()
         except OSError:
-            writer.transport.abort()
+            reset(writer)
 
     def reset(self):
         for near, far in list(self.pairs):
-            near.transport.abort()
-            far.transport.abort()
+            reset(near)
+            reset(far)
 
 
 class Target:
@@ -154,6 +182,8 @@
         self.lose_answers = 0.0  # share of answers that are lost after the run
         self.shed = 0.0  # share of requests that are refused unrun
         self.lying_health = False
+        self.cut_streams = 0.0  # share of streams without framing that are broken off inside an event
+        self.ends_orderly = False
         self.tasks = set()
         self.active = 0
         self.troubled_at = 0.0  # its link was cut or reset
@@ -171,6 +201,7 @@
 
     def crash(self):
         self.up = False
+        self.ends_orderly = self.random.random() < ORDERLY_SHARE
         self.server.close()
         self.proxy.server.close()  # a port without a process refuses connections
         self.beats.cancel()
@@ -203,7 +234,10 @@
             pass
         finally:
             self.tasks.discard(task)
-            writer.transport.abort()
+            if self.ends_orderly and not self.up:
+                writer.close()
+            else:
+                reset(writer)
 
     def load(self):
         return f"Server-Load: {self.active},0,{SLOTS}"
@@ -242,13 +276,17 @@
         await asyncio.sleep(ORDER_SECONDS)
         if self.random.random() < self.lose_answers:
             return False
-        write_answer(
-            writer,
-            200,
-            [f"Attempt-Id: {attempt}", f"Server-Signature: {signature_of(attempt, self.instance)}", self.load()],
-            order_body(attempt),
-        )
-        return True
+        fields = [f"Attempt-Id: {attempt}", f"Server-Signature: {signature_of(attempt, self.instance)}", self.load()]
+        body = order_body(attempt)
+        if self.random.random() >= UNFRAMED_SHARE:
+            write_answer(writer, 200, fields, body)
+            return True
+        start_unframed(writer, fields)
+        writer.write(body[:300])
+        await asyncio.sleep(0.01)
+        writer.write(body[300:])
+        await end_orderly(writer)
+        return False
 
     async def answer_control(self, method, path, body, writer):
         write_answer(writer, 404)
@@ -376,31 +414,52 @@
         signal = asyncio.Event()
         self.streams.add(signal)
         epoch = self.group.epoch
+        unframed = self.random.random() < UNFRAMED_SHARE
+        cut_after = self.random.randint(0, STREAM_EVENTS) if self.random.random() < self.cut_streams else None
+        fields = [
+            "Content-Type: text/event-stream",
+            f"Attempt-Id: {attempt}",
+            f"Server-Signature: {signature_of(attempt, self.instance)}",
+            self.load(),
+        ]
         try:
-            writer.write(
-                (
-                    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-                    f"Attempt-Id: {attempt}\r\nServer-Signature: {signature_of(attempt, self.instance)}\r\n"
-                    f"{self.load()}\r\n\r\n"
-                ).encode()
-            )
+            if unframed:
+                start_unframed(writer, fields)
+            else:
+                lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked", *fields, "", ""]
+                writer.write("\r\n".join(lines).encode())
             for number in range(first, STREAM_EVENTS + 1):
                 signal.clear()
                 await asyncio.wait_for(signal.wait(), timeout=1.5)
                 if epoch != self.group.epoch:
-                    return False
+                    return await self.break_off(writer, unframed)
+                # An end between two events at a runner that goes on can't be told from a whole stream.
                 if self.random.random() < self.lose_answers / STREAM_EVENTS:
                     return False
                 event = event_of(path, number)
-                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                if unframed and cut_after is not None and number > cut_after:
+                    writer.write(event[: self.random.randint(1, len(event) - 2)])
+                    return await self.break_off(writer, unframed)
+                writer.write(event if unframed else f"{len(event):x}\r\n".encode() + event + b"\r\n")
                 await writer.drain()
+            if unframed:
+                await end_orderly(writer)
+                return False
             writer.write(b"0\r\n\r\n")
             return True
         except asyncio.TimeoutError:
-            return False
+            group_broke = epoch != self.group.epoch or not self.group.is_open()
+            return await self.break_off(writer, unframed and group_broke)
         finally:
             self.streams.discard(signal)
 
+    async def break_off(self, writer, unframed):
+        """Ends a stream early; without framing like one that is whole. Returns that its connection ends."""
+        if unframed:
+            self.ledger.count("streams broken off without framing")
+            await end_orderly(writer)
+        return False
+
     def group_view(self):
         state = "open" if self.group.is_open() else "broken"
         return {"name": self.group.name, "epoch": self.group.epoch, "rank": self.rank, "state": state}
