--- a/src/eventsplit.cpp
+++ b/src/eventsplit.cpp
@@ -95,6 +95,11 @@
     return splitter.owes_event || is_inside_event(splitter);
 }
 
+bool ends_event(std::string_view last_bytes) {
+    return last_bytes.ends_with("\n\n") || last_bytes.ends_with("\r\n\r\n") ||
+           last_bytes.ends_with("\r\r");
+}
+
 bool exceeds_limits(event_splitter const& splitter) {
     return splitter.partial.size() > max_event_bytes ||
            splitter.duplicate_bytes > max_duplicate_bytes;
--- a/src/eventsplit.h
+++ b/src/eventsplit.h
@@ -32,6 +32,13 @@
 /// incomplete has not been received again.
 bool is_cut(event_splitter const& splitter);
 
+/// Longest empty line with the end of the line before it.
+inline constexpr std::size_t longest_event_end = 4;
+
+/// Whether a stream ends with an empty line.
+/// @param last_bytes the last `longest_event_end` bytes of it, or all if it has fewer
+bool ends_event(std::string_view last_bytes);
+
 /// Whether an incomplete event or a run of duplicate events has exceeded its size limit. Such a
 /// target may never send anything that can be forwarded.
 /// @return true if the gateway should abandon the target
