--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -118,6 +118,15 @@
     return "";
 }
 
+std::string describe_parts(std::vector<prompt_part> const& parts) {
+    constexpr std::size_t max_described = 8;
+    std::string text;
+    for (std::size_t number = 0; number < std::min(parts.size(), max_described); ++number) {
+        text += (number > 0 ? "," : "") + parts[number].id;
+    }
+    return text;
+}
+
 /// Why a request is not sent at once.
 enum class wait_cause : std::uint8_t {
     none,
@@ -469,6 +478,7 @@
             ++group->second.streams.own;
         }
         sent_at_ = now;
+        events_before_run_ = splitter_.event_count;
         response_.reset();
         response_body_.clear();
         exchange_end_ = {};
@@ -479,6 +489,7 @@
                      {"version", version_},
                      {"attempt", sends_},
                      {"target", target_id_},
+                     {"parts", describe_parts(headers_.prompt)},
                      {"load", choice.load},
                      {"slots", choice.slots},
                      {"report_age_ms", in_millis(choice.report_age)},
@@ -880,6 +891,11 @@
         }
     }
 
+    // Events that the present run has sent.
+    [[nodiscard]] std::uint64_t run_events() const {
+        return splitter_.event_count - events_before_run_;
+    }
+
     void count_attempt(attempt_result result) {
         if (result == attempt_result::not_connected) {
             ++progress_.connect_failures;
@@ -918,6 +934,7 @@
                      {"status", response_ ? response_->status : 0},
                      {"framing", name_of(exchange_end_.framing)},
                      {"connection", name_of(exchange_end_.connection)},
+                     {"events", run_events()},
                      {"partial_bytes", partial_bytes},
                      {"after_ms", in_millis(loop_now(owner_.loop) - sent_at_)},
                      {"step", name_of(action)}});
@@ -1103,6 +1120,7 @@
     wait_cause wait_cause_{wait_cause::none};
     std::uint64_t queue_id_{0};
     bool waiting_for_config_{false};
+    std::uint64_t events_before_run_{0};
     std::shared_ptr<target_exchange> exchange_;
     exchange_end exchange_end_; ///< of the last attempt that ended
     std::optional<target_response> response_;
