Quarantine: a crash that one request explains is not held against those that ended well before

What callers saw: a sound request that many callers send was refused for an hour. On a deployment with one group it ran on each target that another request crashed, three times in a row, and no run ended well in between, since the group was down. Cause: the table judged each request by itself. Fix: a quarantined request of which no process ever saw a run end well explains the crashes under it. They do not count for others that have ended well before, and verdicts on those are withdrawn. Gateways therefore report also runs that ended well before the first crash, once for each list; such a run clears nothing by itself.

--- a/src/callfingerprint.cpp
+++ b/src/callfingerprint.cpp
@@ -1,6 +1,7 @@
 #include "callfingerprint.h"
 
 #include "digest.h"
+#include "quarantine.h"
 
 namespace fireflycrank {
 
@@ -18,4 +19,10 @@
     return digits;
 }
 
+std::string part_fingerprint(std::string_view id) {
+    auto digits = sha256_fields({"part", id});
+    digits.resize(fingerprint_length);
+    return std::string{part_prefix} + digits;
+}
+
 } // namespace fireflycrank
--- a/src/callfingerprint.h
+++ b/src/callfingerprint.h
@@ -20,4 +20,9 @@
 /// @return 32 hexadecimal digits, identical at all gateways
 std::string call_fingerprint(fingerprint_fields const& fields);
 
+/// Computes the fingerprint of a part of prompts, which no request has.
+/// @param id the part's id as the caller sent it
+/// @return the prefix of parts and 32 hexadecimal digits, identical at all gateways
+std::string part_fingerprint(std::string_view id);
+
 } // namespace fireflycrank
--- a/src/claimwire.cpp
+++ b/src/claimwire.cpp
@@ -277,6 +277,7 @@
             added.set_alone(running.alone);
             added.set_began_before_ms(wire_age(running.began_before));
             added.set_after(running.after);
+            added.set_unproven(running.unproven);
             added.set_finished(running.finished_before.has_value());
             added.set_finished_before_ms(
                 wire_age(running.finished_before.value_or(std::chrono::milliseconds{0})));
@@ -284,6 +285,7 @@
         out.mutable_crash()->set_ended_before_ms(wire_age(crash->ended_before));
     } else if (auto const* finished = std::get_if<report_finished>(&command.action)) {
         out.mutable_finished()->set_fingerprint(finished->fingerprint);
+        out.mutable_finished()->set_finished_before_ms(wire_age(finished->finished_before));
     } else if (auto const* release = std::get_if<release_fingerprint>(&command.action)) {
         out.mutable_release()->set_fingerprint(release->fingerprint);
         out.mutable_release()->set_operator_name(release->operator_name);
@@ -304,9 +306,12 @@
         crash.crash_id = in.crash().crash_id();
         crash.ended_before = std::chrono::milliseconds{in.crash().ended_before_ms()};
         for (auto const& running : in.crash().running()) {
-            running_fingerprint one{running.fingerprint(), running.alone(),
+            running_fingerprint one{running.fingerprint(),
+                                    running.alone(),
                                     std::chrono::milliseconds{running.began_before_ms()},
-                                    running.after(), std::nullopt};
+                                    running.after(),
+                                    std::nullopt,
+                                    running.unproven()};
             if (running.finished()) {
                 one.finished_before = std::chrono::milliseconds{running.finished_before_ms()};
             }
@@ -316,7 +321,8 @@
         return out;
     }
     case wire::QuarantineCommand::kFinished:
-        out.action = report_finished{in.finished().fingerprint()};
+        out.action = report_finished{in.finished().fingerprint(),
+                                     std::chrono::milliseconds{in.finished().finished_before_ms()}};
         return out;
     case wire::QuarantineCommand::kRelease:
         out.action = release_fingerprint{in.release().fingerprint(), in.release().operator_name()};
@@ -410,12 +416,14 @@
         stored.set_quarantined(entry.quarantined);
         stored.set_quarantined_from_ms(to_ms(entry.quarantined_from));
         stored.set_last_crash_ms(to_ms(entry.last_crash));
+        stored.set_has_finished(entry.has_finished);
         for (auto const& crash : entry.crashes) {
             auto& kept = *stored.add_crashes();
             kept.set_id(crash.id);
             kept.set_began_ms(to_ms(crash.began));
             kept.set_ended_ms(to_ms(crash.ended));
             kept.set_after(crash.after);
+            kept.set_unproven(crash.unproven);
         }
     }
     out.set_revision(table.revision);
@@ -436,9 +444,11 @@
         entry.quarantined = stored.quarantined();
         entry.quarantined_from = from_ms(stored.quarantined_from_ms());
         entry.last_crash = from_ms(stored.last_crash_ms());
+        entry.has_finished = stored.has_finished();
+        entry.part = names_part(stored.fingerprint());
         for (auto const& crash : stored.crashes()) {
-            entry.crashes.push_back(
-                {crash.id(), from_ms(crash.began_ms()), from_ms(crash.ended_ms()), crash.after()});
+            entry.crashes.push_back({crash.id(), from_ms(crash.began_ms()),
+                                     from_ms(crash.ended_ms()), crash.after(), crash.unproven()});
         }
         table.ages.emplace(entry.last_crash, stored.fingerprint());
         table.entries.emplace(stored.fingerprint(), std::move(entry));
--- a/src/crashtracker.cpp
+++ b/src/crashtracker.cpp
@@ -3,6 +3,7 @@
 #include "digest.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fireflycrank {
 
@@ -23,7 +24,7 @@
     quarantine_command command;
     command.at = steady_as_wall(now);
     if (auto const* finished = std::get_if<finished_suspect>(&report.content)) {
-        command.action = report_finished{finished->fingerprint};
+        command.action = report_finished{finished->fingerprint, age(finished->finished_at, now)};
         return command;
     }
     auto const& ended = std::get<target_crash>(report.content);
@@ -35,6 +36,7 @@
         one.fingerprint = run.fingerprint;
         one.began_before = age(run.sent_at, now);
         one.after = run.prior_crash_id;
+        one.unproven = run.unproven;
         if (run.last_finished_at) {
             one.finished_before = age(*run.last_finished_at, now);
         }
@@ -57,6 +59,68 @@
     return suspect.refuse_from <= now && now < suspect.refuse_until;
 }
 
+std::optional<time_point> last_finished_at(crash_tracker const& tracker,
+                                           std::string_view fingerprint) {
+    auto const& finished = names_part(fingerprint) ? tracker.finished_parts : tracker.last_finished;
+    auto const found = finished.find(hash64(fingerprint));
+    return found == finished.end() ? std::nullopt : std::optional{found->second};
+}
+
+void remember_finished_part(crash_tracker& tracker, std::string_view fingerprint, time_point now) {
+    auto& finished = tracker.finished_parts;
+    finished[hash64(fingerprint)] = now;
+    if (finished.size() <= tracker.settings.max_finished_parts) {
+        return;
+    }
+    std::vector<time_point> times;
+    for (auto const& [key, at] : finished) {
+        times.push_back(at);
+    }
+    auto const middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    std::erase_if(finished, [&](auto const& entry) { return entry.second < *middle; });
+}
+
+void remember_finished_request(crash_tracker& tracker, std::string_view fingerprint,
+                               time_point now) {
+    auto const key = hash64(fingerprint);
+    auto const [position, inserted] = tracker.last_finished.try_emplace(key, now);
+    position->second = now;
+    if (inserted) {
+        tracker.finished_by_age.push_back(key);
+        if (tracker.finished_by_age.size() > tracker.settings.max_finished) {
+            tracker.last_finished.erase(tracker.finished_by_age.front());
+            tracker.finished_by_age.pop_front();
+        }
+    }
+}
+
+// Adds the parts of a lost run to the runs of its crash; each part once.
+void add_parts(target_crash& ended, lost_run const& lost, crash_tracker const& tracker) {
+    for (auto const& part : lost.parts) {
+        auto const known =
+            std::find_if(ended.runs.begin(), ended.runs.end(), [&](target_crash::run const& run) {
+                return run.fingerprint == part.fingerprint;
+            });
+        if (known != ended.runs.end()) {
+            known->unproven = known->unproven || part.unproven;
+            continue;
+        }
+        ended.runs.push_back({part.fingerprint, lost.sent_at, lost.prior_crash_id,
+                              last_finished_at(tracker, part.fingerprint), part.unproven});
+    }
+}
+
+// The registrars' table has these parts now, and their list brings the verdict or withdraws it.
+void forget_own_parts(crash_tracker& tracker, target_crash const& ended) {
+    for (auto const& run : ended.runs) {
+        if (names_part(run.fingerprint)) {
+            apply(tracker.local_table,
+                  {tracker.local_table.latest, release_fingerprint{run.fingerprint, {}}});
+        }
+    }
+}
+
 } // namespace
 
 quarantine_table make_local_quarantine_table() {
@@ -82,6 +146,25 @@
     return std::max(remaining, duration::zero());
 }
 
+duration trial_remaining(crash_tracker const& tracker, std::string_view fingerprint, unsigned turn,
+                         time_point now) {
+    auto const found = tracker.listed_suspects.find(fingerprint);
+    if (found == tracker.listed_suspects.end() || in_force(found->second, now)) {
+        return {};
+    }
+    bool const over = found->second.refuse_from < found->second.refuse_until;
+    if (!found->second.on_trial && !over) {
+        return {}; // there was no verdict
+    }
+    auto const opens_at = found->second.refuse_until + turn * tracker.settings.trial_interval;
+    return std::max(opens_at - now, duration::zero());
+}
+
+bool is_proven_part(crash_tracker const& tracker, std::string_view fingerprint, time_point now) {
+    auto const finished = last_finished_at(tracker, fingerprint);
+    return finished && now - *finished < tracker.settings.max_part_age;
+}
+
 std::string last_crash_id(crash_tracker const& tracker, std::string_view fingerprint) {
     auto const found = tracker.local_table.entries.find(fingerprint);
     return found == tracker.local_table.entries.end() || found->second.crashes.empty()
@@ -96,12 +179,9 @@
         auto& ended = by_crash[id];
         ended.crash_id = id;
         ended.crashed_at = std::max(ended.crashed_at, run.lost_at);
-        target_crash::run one{run.fingerprint, run.sent_at, run.prior_crash_id, std::nullopt};
-        if (auto const found = tracker.last_finished.find(hash64(run.fingerprint));
-            found != tracker.last_finished.end()) {
-            one.last_finished_at = found->second;
-        }
-        ended.runs.push_back(std::move(one));
+        ended.runs.push_back({run.fingerprint, run.sent_at, run.prior_crash_id,
+                              last_finished_at(tracker, run.fingerprint)});
+        add_parts(ended, run, tracker);
     }
     for (auto& [id, ended] : by_crash) {
         add_report(tracker, std::move(ended), now);
@@ -111,43 +191,46 @@
 }
 
 void record_finished(crash_tracker& tracker, std::string const& fingerprint, time_point now) {
-    auto const key = hash64(fingerprint);
-    auto const [position, inserted] = tracker.last_finished.try_emplace(key, now);
-    position->second = now;
-    if (inserted) {
-        tracker.finished_by_age.push_back(key);
-        if (tracker.finished_by_age.size() > tracker.settings.max_finished) {
-            tracker.last_finished.erase(tracker.finished_by_age.front());
-            tracker.finished_by_age.pop_front();
-        }
+    bool const part = names_part(fingerprint);
+    if (part) {
+        remember_finished_part(tracker, fingerprint, now);
+    } else {
+        remember_finished_request(tracker, fingerprint, now);
     }
     if (!tracker.local_table.entries.empty()) {
         apply(tracker.local_table, {steady_as_wall(now), report_finished{fingerprint}});
     }
     auto const suspect = tracker.listed_suspects.find(fingerprint);
-    if (suspect != tracker.listed_suspects.end() && !in_force(suspect->second, now)) {
+    if (suspect != tracker.listed_suspects.end() && (part || !in_force(suspect->second, now))) {
         // Erased so that the run is reported only once per list that contains the suspect.
         tracker.listed_suspects.erase(suspect);
-        add_report(tracker, finished_suspect{fingerprint}, now);
+        add_report(tracker, finished_suspect{fingerprint, now}, now);
     }
 }
-
 bool update_suspects(crash_tracker& tracker, std::uint64_t revision,
                      std::vector<suspect_request> const& suspects, time_point now) {
     if (revision <= tracker.list_revision) {
         return false;
     }
     tracker.list_revision = revision;
-    tracker.listed_suspects.clear();
+    auto const previous = std::exchange(tracker.listed_suspects, {});
     for (auto const& one : suspects) {
-        crash_tracker::listed_suspect const listed{now + one.refuse_after,
-                                                   now + one.quarantine_left};
-        auto const finished = tracker.last_finished.find(hash64(one.fingerprint));
-        bool const finished_since = finished != tracker.last_finished.end() &&
-                                    finished->second > now - one.first_crash_before;
-        if (finished_since && !in_force(listed, now)) {
-            add_report(tracker, finished_suspect{one.fingerprint}, now);
-        } else {
+        crash_tracker::listed_suspect listed{now + one.refuse_after, now + one.quarantine_left};
+        auto const known = previous.find(one.fingerprint);
+        listed.on_trial = one.on_trial;
+        if (known != previous.end() && one.on_trial) {
+            // The list does not tell since when the quarantine is over.
+            listed.refuse_until = std::min(known->second.refuse_until, now);
+        }
+        listed.reported = known != previous.end() && known->second.reported;
+        auto const finished = last_finished_at(tracker, one.fingerprint);
+        bool const clears = finished && *finished > now - one.first_crash_before &&
+                            (names_part(one.fingerprint) || !in_force(listed, now));
+        if (clears || (finished && !listed.reported)) {
+            listed.reported = true;
+            add_report(tracker, finished_suspect{one.fingerprint, *finished}, now);
+        }
+        if (!clears) {
             tracker.listed_suspects[one.fingerprint] = listed;
         }
     }
@@ -169,7 +252,14 @@
 }
 
 void acknowledge_report(crash_tracker& tracker, std::uint64_t number) {
-    tracker.pending_reports.erase(number);
+    auto const found = tracker.pending_reports.find(number);
+    if (found == tracker.pending_reports.end()) {
+        return;
+    }
+    if (auto const* ended = std::get_if<target_crash>(&found->second.content)) {
+        forget_own_parts(tracker, *ended);
+    }
+    tracker.pending_reports.erase(found);
 }
 
 } // namespace fireflycrank
--- a/src/crashtracker.h
+++ b/src/crashtracker.h
@@ -33,15 +33,23 @@
     /// Number of requests whose last successful run is remembered; the one that first succeeded
     /// longest ago is dropped.
     std::size_t max_finished{1'000};
+    /// Number of parts of prompts whose last successful run is remembered. A gateway sees fewer
+    /// within `max_part_age`; when there are more, the half that finished longest ago is dropped.
+    std::size_t max_finished_parts{8'000};
+    duration max_part_age{std::chrono::minutes{10}};
+    /// After the quarantine of a part, gateways try it again one after the other, so that one of
+    /// them finds out for all. A crash is known everywhere within this time.
+    duration trial_interval{std::chrono::seconds{2}};
 };
 
 /// A crash of a target with the runs that ended in it.
 struct target_crash {
     struct run {
-        std::string fingerprint;
+        std::string fingerprint; ///< of the request, or of a part of its prompt
         time_point sent_at{};
         std::string prior_crash_id; ///< crash seen by this gateway before the run; may be empty
-        std::optional<time_point> last_finished_at; ///< last successful run of the same request
+        std::optional<time_point> last_finished_at; ///< last successful run of the same
+        bool unproven{false};                       ///< see run_part
     };
     std::string crash_id;
     time_point crashed_at{};
@@ -51,6 +59,7 @@
 /// A suspect request whose run was answered in full.
 struct finished_suspect {
     std::string fingerprint;
+    time_point finished_at{};
 };
 
 /// A report that the registrars have not acknowledged yet.
@@ -75,11 +84,14 @@
     struct listed_suspect {
         time_point refuse_from{};
         time_point refuse_until{}; ///< not after `refuse_from` when there is no verdict
+        bool on_trial{false};
+        bool reported{false}; ///< this gateway has reported an earlier successful run of it
     };
     std::map<std::string, listed_suspect, std::less<>> listed_suspects;
     std::uint64_t list_revision{0};
     std::unordered_map<std::uint64_t, time_point> last_finished; ///< by hash of the fingerprint
     std::deque<std::uint64_t> finished_by_age; ///< its keys, by first successful run
+    std::unordered_map<std::uint64_t, time_point> finished_parts; ///< by hash of the fingerprint
     std::map<std::uint64_t, crash_report> pending_reports;
     /// Starts higher in each process, so that a late acknowledgement matches no newer report.
     std::uint64_t last_report_number{0};
@@ -100,6 +112,15 @@
 duration quarantine_remaining(crash_tracker const& tracker, std::string_view fingerprint,
                               time_point now);
 
+/// Returns the time until a part that has been quarantined may be tried by this gateway.
+/// @param turn number of gateways that try it before this one
+/// @return zero when it may be tried now, or was never quarantined
+duration trial_remaining(crash_tracker const& tracker, std::string_view fingerprint, unsigned turn,
+                         time_point now);
+
+/// Whether this gateway has lately seen a successful run with a part.
+bool is_proven_part(crash_tracker const& tracker, std::string_view fingerprint, time_point now);
+
 /// Returns the id of the last crash that this gateway saw under a request; empty for none.
 std::string last_crash_id(crash_tracker const& tracker, std::string_view fingerprint);
 
@@ -107,7 +128,8 @@
 /// @param runs runs that ended in the crashes, of one or several targets
 void record_crashes(crash_tracker& tracker, std::vector<lost_run> const& runs, time_point now);
 
-/// Records a run of a request that was answered in full.
+/// Records a run that was answered in full.
+/// @param fingerprint of the request, or of a part of its prompt
 void record_finished(crash_tracker& tracker, std::string const& fingerprint, time_point now);
 
 /// Replaces the list of suspects by one from a registrar.
--- a/src/directorywire.cpp
+++ b/src/directorywire.cpp
@@ -156,6 +156,7 @@
             one.set_first_crash_before_ms(request.first_crash_before.count());
             one.set_refuse_after_ms(request.refuse_after.count());
             one.set_quarantine_left_ms(request.quarantine_left.count());
+            one.set_on_trial(request.on_trial);
         }
     }
     return wired.SerializeAsString();
@@ -192,10 +193,10 @@
         auto& suspects = plain.suspects.emplace();
         suspects.revision = wired.suspects_revision();
         for (auto const& one : wired.suspects()) {
-            suspects.requests.push_back({one.fingerprint(),
-                                         std::chrono::milliseconds{one.first_crash_before_ms()},
-                                         std::chrono::milliseconds{one.refuse_after_ms()},
-                                         std::chrono::milliseconds{one.quarantine_left_ms()}});
+            suspects.requests.push_back(
+                {one.fingerprint(), std::chrono::milliseconds{one.first_crash_before_ms()},
+                 std::chrono::milliseconds{one.refuse_after_ms()},
+                 std::chrono::milliseconds{one.quarantine_left_ms()}, one.on_trial()});
         }
     }
     return plain;
--- a/src/lostruns.h
+++ b/src/lostruns.h
@@ -12,6 +12,13 @@
 
 namespace fireflycrank {
 
+/// A part of the prompt of a lost run.
+struct run_part {
+    std::string fingerprint; ///< see part_fingerprint()
+    /// The run had sent nothing, and this gateway knows of no run with the part that ended well.
+    bool unproven{false};
+};
+
 /// A run that ended without a complete response.
 struct lost_run {
     std::string fingerprint; ///< of the request, see call_fingerprint()
@@ -22,6 +29,7 @@
     time_point lost_at{};
     std::string
         prior_crash_id{}; ///< last crash seen under the request before the run; may be empty
+    std::vector<run_part> parts{}; ///< that may have caused the crash
 };
 
 /// Runs whose target may have ended, in the order in which they were lost.
--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -16,9 +16,21 @@
 // Crashes kept of a request: those that count, and others of which late reports are recognized.
 constexpr std::size_t kept_crashes = 8;
 
+std::chrono::milliseconds quarantine_span(quarantine_entry const& entry,
+                                          quarantine_limits const& limits) {
+    if (!entry.part) {
+        return limits.quarantine_time;
+    }
+    auto span = limits.part_quarantine_time;
+    for (auto crash = crashes_in_row(entry); crash > 1 && span < limits.quarantine_time; --crash) {
+        span *= limits.part_growth;
+    }
+    return std::min(span, limits.quarantine_time);
+}
+
 bool quarantine_is_over(quarantine_entry const& entry, quarantine_limits const& limits,
                         wall_time now) {
-    return entry.last_crash + limits.quarantine_time < now;
+    return entry.last_crash + quarantine_span(entry, limits) < now;
 }
 
 bool is_quarantined(quarantine_entry const& entry, quarantine_limits const& limits, wall_time now) {
@@ -27,7 +39,7 @@
 }
 
 bool expired(quarantine_entry const& entry, quarantine_limits const& limits, wall_time now) {
-    auto const suspect_from = entry.last_crash + (entry.quarantined ? limits.quarantine_time
+    auto const suspect_from = entry.last_crash + (entry.quarantined ? quarantine_span(entry, limits)
                                                                     : std::chrono::milliseconds{0});
     return suspect_from + limits.suspect_time < now;
 }
@@ -91,31 +103,82 @@
     }
 }
 
-// A run to an end clears the request of all crashes before it.
-void note_run_to_end(quarantine_entry& entry, wall_time ended, wall_time now,
-                     quarantine_limits const& limits) {
-    if (is_quarantined(entry, limits, now)) {
+// A crash has one cause. A quarantined request or part of which no run ever ended well explains the
+// crashes under it to all others that ran beside it and have ended well before.
+bool is_explained(quarantine_table const& table, crash_under_request const& crash) {
+    return std::any_of(table.entries.begin(), table.entries.end(), [&](auto const& other) {
+        auto const& entry = other.second;
+        return entry.quarantined && !entry.has_finished && knows_crash(entry, crash.id);
+    });
+}
+
+std::uint32_t counted_crashes(quarantine_table const& table, quarantine_entry const& entry) {
+    auto const crashes = crashes_in_row(entry);
+    if (!entry.has_finished || crashes < crashes_beside_others) {
+        return crashes; // too few for a verdict in any case
+    }
+    auto unexplained = entry;
+    std::erase_if(unexplained.crashes,
+                  [&](crash_under_request const& crash) { return is_explained(table, crash); });
+    return crashes_in_row(unexplained);
+}
+
+// Crashes that lead to a verdict.
+std::uint32_t needed_crashes(quarantine_entry const& entry) {
+    bool const unproven = !entry.has_finished &&
+                          std::any_of(entry.crashes.begin(), entry.crashes.end(),
+                                      [](crash_under_request const& one) { return one.unproven; });
+    return unproven ? 1 : crashes_beside_others;
+}
+
+bool is_guilty(quarantine_table const& table, quarantine_entry const& entry) {
+    return counted_crashes(table, entry) >= needed_crashes(entry);
+}
+
+// A run to an end clears the request or part of all crashes before it.
+void note_run_to_end(quarantine_table const& table, quarantine_entry& entry, wall_time ended) {
+    entry.has_finished = true;
+    if (!entry.part && is_quarantined(entry, table.limits, table.latest)) {
+        // A run that started before the quarantine may end after it.
+        entry.quarantined = is_guilty(table, entry);
         return;
     }
-    std::erase_if(entry.crashes, [&](crash_under_request const& one) { return one.ended < ended; });
-    entry.quarantined = entry.quarantined && crashes_in_row(entry) >= crashes_beside_others;
+    std::erase_if(entry.crashes,
+                  [&](crash_under_request const& one) { return one.ended <= ended; });
+    entry.quarantined = entry.quarantined && is_guilty(table, entry);
+}
+
+// Ends the verdicts on requests and parts whose crashes a new verdict explains.
+void withdraw_explained(quarantine_table& table) {
+    for (auto& [fingerprint, entry] : table.entries) {
+        if (entry.quarantined && entry.has_finished && !is_guilty(table, entry)) {
+            entry.quarantined = false;
+            ++table.revision;
+        }
+    }
 }
 
-void decide(quarantine_entry& entry, bool alone, wall_time now, quarantine_limits const& limits,
+void decide(quarantine_table& table, quarantine_entry& entry, bool alone,
             std::string const& fingerprint, quarantine_reply& reply) {
-    auto const crashes = crashes_in_row(entry);
-    if (crashes < (alone ? crashes_alone : crashes_beside_others)) {
+    auto const crashes = counted_crashes(table, entry);
+    auto const needed = needed_crashes(entry);
+    if (crashes < (alone ? std::min(needed, crashes_alone) : needed)) {
         return;
     }
+    auto const now = table.latest;
     if (!entry.quarantined) {
         entry.quarantined = true;
-        entry.quarantined_from = now + limits.hearing_time;
+        entry.quarantined_from = now + table.limits.hearing_time;
         reply.quarantined.push_back(fingerprint);
+        if (!entry.has_finished) {
+            withdraw_explained(table);
+        }
     }
-    if (alone) {
+    if (alone || needed == 1) {
         entry.quarantined_from = std::min(entry.quarantined_from, now);
     } else if (crashes >= crashes_for_short_hearing) {
-        entry.quarantined_from = std::min(entry.quarantined_from, now + limits.short_hearing_time);
+        entry.quarantined_from =
+            std::min(entry.quarantined_from, now + table.limits.short_hearing_time);
     }
 }
 
@@ -134,22 +197,45 @@
     }
     auto& entry = found->second;
     bool const was_repeated = is_repeated_suspect(entry);
+    entry.part = names_part(running.fingerprint);
     if (running.finished_before) {
-        note_run_to_end(entry, table.latest - *running.finished_before, table.latest, table.limits);
+        note_run_to_end(table, entry, table.latest - *running.finished_before);
     }
     auto const ended = table.latest - crash.ended_before;
     auto const began = std::min(ended, table.latest - running.began_before);
-    keep_crash(entry, {crash.crash_id, began, ended, running.after});
+    keep_crash(entry, {crash.crash_id, began, ended, running.after, running.unproven});
     table.ages.erase({entry.last_crash, running.fingerprint});
     entry.last_crash = std::max(entry.last_crash, ended);
     table.ages.emplace(entry.last_crash, running.fingerprint);
-    decide(entry, running.alone, table.latest, table.limits, running.fingerprint, reply);
+    decide(table, entry, running.alone, running.fingerprint, reply);
     table.revision += was_repeated || is_repeated_suspect(entry) ? 1 : 0;
     reply.changed = true;
 }
 
+bool apply_finished(quarantine_table& table, report_finished const& finished) {
+    auto const found = table.entries.find(finished.fingerprint);
+    if (found == table.entries.end()) {
+        return false;
+    }
+    auto& entry = found->second;
+    auto const before = entry;
+    note_run_to_end(table, entry, table.latest - finished.finished_before);
+    if (entry.crashes.empty()) {
+        remove_entry(table, finished.fingerprint);
+        return true;
+    }
+    bool const changed =
+        before.quarantined != entry.quarantined || before.crashes.size() != entry.crashes.size();
+    table.revision += changed ? 1 : 0;
+    return changed || before.has_finished != entry.has_finished;
+}
+
 } // namespace
 
+bool names_part(std::string_view fingerprint) {
+    return fingerprint.starts_with(part_prefix);
+}
+
 std::uint32_t crashes_in_row(quarantine_entry const& entry) {
     std::uint32_t count = 0;
     wall_time last_end = wall_time::min();
@@ -178,14 +264,7 @@
         return reply;
     }
     if (auto const* finished = std::get_if<report_finished>(&command.action)) {
-        auto const found = table.entries.find(finished->fingerprint);
-        // A run that started before the quarantine may end after it; only time or an operator
-        // lifts a quarantine.
-        if (found != table.entries.end() &&
-            !is_quarantined(found->second, table.limits, table.latest)) {
-            remove_entry(table, finished->fingerprint);
-            reply.changed = true;
-        }
+        reply.changed = apply_finished(table, *finished);
         return reply;
     }
     auto const& release = std::get<release_fingerprint>(command.action);
@@ -210,7 +289,7 @@
     if (found == table.entries.end() || !is_quarantined(found->second, table.limits, now)) {
         return {};
     }
-    return found->second.last_crash + table.limits.quarantine_time - now;
+    return found->second.last_crash + quarantine_span(found->second, table.limits) - now;
 }
 
 std::vector<suspect_request> repeated_suspects(quarantine_table const& table, wall_time now,
@@ -225,8 +304,9 @@
         suspects.push_back({fingerprint, std::max(none, now - entry.crashes.front().ended),
                             entry.quarantined ? std::max(none, entry.quarantined_from - now) : none,
                             entry.quarantined && !over
-                                ? entry.last_crash + table.limits.quarantine_time - now
-                                : none});
+                                ? entry.last_crash + quarantine_span(entry, table.limits) - now
+                                : none,
+                            entry.quarantined && over});
     }
     auto const longer = [](suspect_request const& left, suspect_request const& right) {
         return left.quarantine_left > right.quarantine_left;
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -1,5 +1,6 @@
 /// @file
-/// Requests that crash the targets that run them: a replicated table by fingerprint.
+/// Requests that crash the targets that run them, and parts of prompts that do so whatever else the
+/// request holds: a replicated table by fingerprint.
 #pragma once
 
 #include "attempt.h"
@@ -33,6 +34,11 @@
     std::chrono::milliseconds hearing_time{1'500};
     /// The same after a fourth crash: the way of a message through the log and back.
     std::chrono::milliseconds short_hearing_time{400};
+    /// The quarantine of a part after its first crash. Each further crash in a row multiplies it by
+    /// `part_growth`, up to `quarantine_time`. A false verdict ends after it, and a true one costs
+    /// a group the time to form again.
+    std::chrono::milliseconds part_quarantine_time{std::chrono::seconds{15}};
+    int part_growth{8};
 };
 
 /// A crash under a request, with the run that it cut off.
@@ -41,12 +47,15 @@
     wall_time began;
     wall_time ended;
     std::string after; ///< id of a crash that the reporter saw before the run began; may be empty
+    bool unproven{false}; ///< see running_fingerprint
 };
 
 /// What is held against one fingerprint.
 struct quarantine_entry {
     /// Since the last run to an end, by `ended`; the newest few.
     std::vector<crash_under_request> crashes;
+    bool part{false};         ///< of prompts, not a request
+    bool has_finished{false}; ///< some process saw a run to an end, at any time
     bool quarantined{false};
     wall_time quarantined_from; ///< the verdict's effect
     wall_time last_crash;
@@ -77,6 +86,9 @@
     std::string after{}; ///< id of a crash that the reporter saw before the run began; may be empty
     /// The reporter saw a run of it end well so long ago.
     std::optional<std::chrono::milliseconds> finished_before{};
+    /// Parts only: the run had sent nothing, and the reporter knows of no run with the part that
+    /// ended well. One such crash leads to a verdict.
+    bool unproven{false};
 
     friend bool operator==(running_fingerprint const&, running_fingerprint const&) = default;
 };
@@ -91,6 +103,7 @@
 /// A suspect ran to its end without a crash.
 struct report_finished {
     std::string fingerprint;
+    std::chrono::milliseconds finished_before{0}; ///< counted back from the command's time
 };
 
 /// An operator releases a fingerprint.
@@ -141,12 +154,19 @@
 std::chrono::milliseconds quarantine_left(quarantine_table const& table,
                                           std::string_view fingerprint, wall_time now);
 
-/// A request that is quarantined or has crashed more than one target.
+/// Begins the fingerprints of parts of prompts.
+inline constexpr std::string_view part_prefix = "part/";
+
+/// Whether a fingerprint names a part of prompts, see part_fingerprint().
+bool names_part(std::string_view fingerprint);
+
+/// A request that is quarantined or has crashed more than one target, or a quarantined part.
 struct suspect_request {
     std::string fingerprint;
     std::chrono::milliseconds first_crash_before{0}; ///< a run to an end since then clears it
     std::chrono::milliseconds refuse_after{0};       ///< the verdict takes effect then
     std::chrono::milliseconds quarantine_left{0};    ///< zero: there is no verdict in force
+    bool on_trial{false}; ///< its quarantine is over, and no run has ended well since
 
     friend bool operator==(suspect_request const&, suspect_request const&) = default;
 };
--- a/tests/gateway_crashing_test.cpp
+++ b/tests/gateway_crashing_test.cpp
@@ -273,11 +273,47 @@
     std::vector<suspect_request> const accused{
         {"hot", milliseconds{200}, milliseconds{400}, milliseconds{60'000}}};
     update_suspects(other, 1, accused, at_ms(1'200));
-    CHECK(take_due_reports(other, at_ms(1'200)).empty());
+    auto const earlier = take_due_reports(other, at_ms(1'200));
+    REQUIRE(earlier.size() == 1);
+    quarantine_table convicted;
+    for (std::int64_t crash = 0; crash < 3; ++crash) {
+        apply(convicted, {wall_ms(1'000 + 50 * crash),
+                          report_crash{std::to_string(crash), {make_run("hot", 20)}}});
+    }
+    auto vouching = earlier[0].command;
+    vouching.at = wall_ms(1'200);
+    apply(convicted, vouching);
+    CHECK(judge(convicted, "hot", wall_ms(1'200) + convicted.limits.hearing_time) ==
+          quarantine_verdict::refuse);
     CHECK_FALSE(is_refused(other, "hot", 1'599));
     CHECK(is_refused(other, "hot", 1'600));
 }
 
+// Regression: a sound request that many callers sent ran on the only group each time that another
+// request crashed it, never ended well in between, and was refused for an hour.
+TEST_CASE("a crash that one request explains is not held against those that ended well before") {
+    for (bool const known_late : {false, true}) {
+        for (bool const hot_first : {false, true}) {
+            quarantine_table table;
+            for (std::int64_t crash = 1; crash <= 3; ++crash) {
+                auto crashing = make_run("crashing", 30);
+                auto hot = make_run("hot", 40);
+                if (!known_late) {
+                    hot.finished_before = milliseconds{500 + 1'000 * crash};
+                }
+                auto const id = std::to_string(crash);
+                auto const at = wall_ms(10'000 + 1'000 * crash);
+                apply(table, {at, report_crash{id, {hot_first ? hot : crashing}}});
+                apply(table, {at, report_crash{id, {hot_first ? crashing : hot}}});
+            }
+            apply(table, {wall_ms(13'100), report_finished{"hot", milliseconds{4'000}}});
+            auto const later = wall_ms(13'100) + table.limits.hearing_time;
+            CHECK(judge(table, "crashing", later) == quarantine_verdict::refuse);
+            CHECK(judge(table, "hot", later) != quarantine_verdict::refuse);
+        }
+    }
+}
+
 // A reset connection or a lost response does not mean that the target has ended.
 TEST_CASE("a lost run counts as a crash only if its target has ended") {
     lost_runs runs;
