Soak: requests that have only a deadly part of their prompts in common

A caller sends drafts with one part in common, no two alike; each runner that begins one ends 30 ms later. The soak checks that at most three reach runners later than 3 s after the fifth end, from processes in touch.

--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -1,6 +1,7 @@
-"""A request that ends every runner that begins to run it, and the check that it stops reaching them.
+"""Requests that end every runner that begins to run them, and the check that they stop reaching runners.
 
-Its caller sends the same path and body at any gateway again and again, each time under another attempt id.
+One caller sends the same path and body at any gateway again and again, each time under another attempt id. Another one
+sends requests that have only a part of their prompts in common.
 """
 
 import asyncio
@@ -12,11 +13,16 @@
 ENDS_BEFORE_LIMIT = 3
 MAX_LATE_SENDS = 3
 PAUSES = {"draft": (1.0, 2.0), "status": (0.6, 1.2)}  # seconds between the caller's attempts
+DEADLY_PART = "dead1eaf"
+PART_PAUSES = (0.3, 0.9)
+PART_ENDS_BEFORE_LIMIT = 5
 
 
 class CrashingRequest:
     """One such request: what it ended, and the sends that came too late."""
 
+    ends_before_limit = ENDS_BEFORE_LIMIT
+
     def __init__(self, fleet, route):
         self.fleet, self.route = fleet, route
         self.path = f"/{route}/crashing"
@@ -28,13 +34,14 @@
         now = time.monotonic()
         self.sends += 1
         self.note(f"send {self.sends} by {gateway.name} begins at {target.instance}")
-        known = len(self.ended) >= ENDS_BEFORE_LIMIT and now > self.ended[ENDS_BEFORE_LIMIT - 1][0] + CONTACT
+        limit = self.ends_before_limit
+        known = len(self.ended) >= limit and now > self.ended[limit - 1][0] + CONTACT
         if known and self.fleet.in_touch(gateway, now - CONTACT):
             self.late += 1
             if self.late == MAX_LATE_SENDS + 1:
                 self.fleet.ledger.violate(
                     f"{self.path} reached runners {self.late} times later than {CONTACT} s after it had ended"
-                    f" {ENDS_BEFORE_LIMIT}: {self.sends} sends, {len(self.ended)} ends"
+                    f" {limit}: {self.sends} sends, {len(self.ended)} ends"
                 )
         asyncio.get_running_loop().call_later(CRASH_AFTER, self.end_target, target, target.instance)
 
@@ -54,3 +61,18 @@
         while True:
             await caller.call(self.route, self.path)
             await asyncio.sleep(caller.random.uniform(*PAUSES[self.route]))
+
+
+class DeadlyPart(CrashingRequest):
+    """Requests with a part of their prompts in common that ends runners."""
+
+    ends_before_limit = PART_ENDS_BEFORE_LIMIT
+
+    def __init__(self, fleet):
+        super().__init__(fleet, "draft")
+        self.path = f"part {DEADLY_PART}"
+
+    async def send_for_ever(self, caller):
+        while True:
+            await caller.call("draft", parts=[DEADLY_PART])
+            await asyncio.sleep(caller.random.uniform(*PART_PAUSES))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,7 +12,8 @@
 - an unrepeatable request runs at most once; no request runs at more targets than its route allows;
 - a call ends within its deadline, unless its gateway was stopped or died;
 - all ranks of a group use one expert map in each pass;
-- a request that ended three runners hardly reaches others once processes in touch can know of it;
+- a request that ended three runners, or requests with a part in common that ended five, hardly reach others once
+  processes in touch can know of it;
 - an acknowledged configuration is never lost or shown in an older state;
 - once the faults end, all of it is served again.
 
@@ -137,6 +138,7 @@
         self.calm = asyncio.Event()
         self.processes, self.targets, self.groups = [], [], []
         self.crashing = {one.path: one for one in (crashing.CrashingRequest(self, name) for name in crashing.PAUSES)}
+        self.deadly_part = crashing.DeadlyPart(self)
         self.sent_at = {}  # attempt -> gateway to which its caller sent it
         self.seeds = [f"{self.own_net}.0.{n}:{CONTROL_PORT}" for n in range(1, 4)]
         for n in range(1, 4):
@@ -315,8 +317,9 @@
             asyncio.open_connection(ip, int(port), limit=standins.READ_LIMIT), timeout=1.0
         )
 
-    async def call(self, route, path=None):
-        """Makes one call, with a path of its own or a given one. Returns whether it was answered with 200 in time."""
+    async def call(self, route, path=None, parts=()):
+        """Makes one call, with a path of its own or a given one, and with more parts of its prompt. Returns whether it
+        was answered with 200 in time."""
         await self.resolve()
         if not self.addresses:
             self.ledger.count("no address")
@@ -335,7 +338,7 @@
             self.ledger.count("not connected")
             self.addresses_until = 0.0
             return False
-        writer.write(self.request(route, path, attempt))
+        writer.write(self.request(route, path, attempt, parts))
         outcome, keep = None, False
         try:
             outcome, keep = await asyncio.wait_for(
@@ -362,7 +365,7 @@
         if len(ran_at) > MAX_ATTEMPTS:
             self.ledger.violate(f"{attempt} on {route} ran at {ran_at}")
 
-    def request(self, route, path, attempt):
+    def request(self, route, path, attempt, parts):
         body = b"" if route == "status" else b"x" * 200
         fields = [
             f"{'GET' if route == 'status' else 'POST'} {path} HTTP/1.1",
@@ -372,7 +375,8 @@
             f"Credential: {KEY}",
         ]
         if route == "draft":
-            fields += ["Model: m", "Token-Usage: 700,120", f"Prompt-Prefix: 5c1e07a2:40,{attempt[:8]}:660"]
+            prompt = ",".join(f"{part}:40" for part in ["5c1e07a2", *parts, attempt[:8]])
+            fields += ["Model: m", "Token-Usage: 700,120", f"Prompt-Prefix: {prompt}"]
         if body:
             fields.append(f"Content-Length: {len(body)}")
         return ("\r\n".join(fields) + "\r\n\r\n").encode() + body
@@ -694,7 +698,7 @@
         fleet.ledger.violate("nothing is served at the start")
     tasks += [asyncio.ensure_future(Caller(fleet, number).call_for_ever()) for number in range(callers)]
     tasks.append(asyncio.ensure_future(watch_config(fleet)))
-    for number, one in enumerate(fleet.crashing.values()):
+    for number, one in enumerate([*fleet.crashing.values(), fleet.deadly_part]):
         tasks.append(asyncio.ensure_future(one.send_for_ever(Caller(fleet, 2000 + number))))
     await asyncio.sleep(CRASHING_SECONDS)
     await Faults(fleet).run(seconds)
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -11,6 +11,8 @@
 import struct
 import time
 
+import crashing
+
 READ_LIMIT = 1 << 20  # bytes of one message
 PASS_SECONDS = 0.02  # one pass of a group
 STREAM_EVENTS = 20  # of one answer
@@ -266,13 +268,15 @@
         finally:
             self.active = max(0, self.active - 1)
 
-    def begin(self, attempt, path):
+    def begin(self, attempt, path, fields):
         self.ledger.begin(attempt, self.instance)
         if path in self.fleet.crashing:
             self.fleet.crashing[path].begin(self, self.fleet.sent_at[attempt])
+        if crashing.DEADLY_PART in fields.get("prompt-prefix", ""):
+            self.fleet.deadly_part.begin(self, self.fleet.sent_at[attempt])
 
     async def run(self, attempt, path, fields, writer):
-        self.begin(attempt, path)
+        self.begin(attempt, path, fields)
         await asyncio.sleep(ORDER_SECONDS)
         if self.random.random() < self.lose_answers:
             return False
@@ -409,7 +413,7 @@
         if not self.group.is_open():
             write_answer(writer, 503, ["Not-Executed: 1", f"Attempt-Id: {attempt}", self.load()])
             return True
-        self.begin(attempt, path)
+        self.begin(attempt, path, fields)
         first = int(fields.get("last-event-id", "0")) + 1
         signal = asyncio.Event()
         self.streams.add(signal)
