Gateway: requests that are lost together wait for the same check of their target

What callers saw: a second group crashed by a repeat. While a target was being checked for the run of a sound request, a run with a deadly part was lost at it; the result of the check released that request, and it was sent to another group before its own check had begun. Fix: a refused connection settles all runs of the incarnation that are lost by then, and calls wait on while the target needs another check.

--- a/src/gatewaycrash.cpp
+++ b/src/gatewaycrash.cpp
@@ -66,22 +66,21 @@
     owner.pool.probe(
         run.address, check_timeout, [&owner, run, started](target_probe_result result) {
             owner.targets_being_checked.erase(run.target);
-            auto const runs =
-                result == target_probe_result::timed_out
-                    ? std::vector<lost_run>{}
-                    : take_lost_runs(owner.crashes.lost, run.target, run.born, started);
+            // A process that has ended by now ended all runs that are lost by now.
+            bool const ended = result == target_probe_result::refused;
+            auto const runs = result == target_probe_result::timed_out
+                                  ? std::vector<lost_run>{}
+                                  : take_lost_runs(owner.crashes.lost, run.target, run.born,
+                                                   ended ? loop_now(owner.loop) : started);
             log_bounded(owner.loop, events::target_checked,
                         {{"target", run.target},
                          {"born", run.born.time_since_epoch().count()},
                          {"found", name_of(result)},
                          {"lost_runs", runs.size()},
                          {"took_ms", in_millis(loop_now(owner.loop) - started)}});
-            if (result == target_probe_result::refused) {
+            if (ended) {
                 handle_crashes(owner, runs);
             }
-            if (auto const waiting = owner.calls_awaiting_check.extract(run.target)) {
-                retry_checked_calls(waiting.mapped());
-            }
             // Runs that were lost after the check began need another check.
             for (auto const& later : owner.crashes.lost.pending) {
                 if (result != target_probe_result::timed_out && later.target == run.target) {
@@ -89,6 +88,9 @@
                     return;
                 }
             }
+            if (auto const waiting = owner.calls_awaiting_check.extract(run.target)) {
+                retry_checked_calls(waiting.mapped());
+            }
         });
 }
 
--- a/tests/gateway_parts_test.cpp
+++ b/tests/gateway_parts_test.cpp
@@ -209,6 +209,31 @@
     CHECK(sound.body == all_events);
 }
 
+// Regression (BUDGET): while the target was being checked for another request, the check's result
+// released a request whose run was lost after the check had begun, and it was sent to a second
+// group.
+TEST_CASE("requests that are lost together wait for the same check of their target") {
+    gateway_world world{{body_framing::chunks, "", false, response_close::none}};
+    record_finished(world.owner.crashes, shared, loop_now(world.owner.loop));
+    raw_connection other{world.owner.loop};
+    other.socket.connect(parse_endpoint(world.address).value());
+    other.read();
+    // Lost first, which begins the check. Nothing of it is suspect.
+    other.write("POST /stream/2 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\nDeadline-Ms: 4000\r\n" +
+                sound_prompt + "\r\n");
+    run_after(world.owner.loop, milliseconds{60}, [&] {
+        REQUIRE(world.first.peers.size() == 2);
+        world.first.acceptor.close();
+        for (auto& peer : world.first.peers) {
+            peer->socket.shutdown(tcp::socket::shutdown_send);
+        }
+    });
+    CHECK(world.call("resumable", "POST", prompt).status == 502);
+    REQUIRE(run_until(world.owner.loop, [&] { return !other.received.empty(); }));
+    CHECK(other.received.starts_with("HTTP/1.1 502"));
+    CHECK(world.second.peers.empty());
+}
+
 // Guards sound requests whose target ends: their parts are known, so they go on elsewhere at once.
 TEST_CASE("a request with known parts is tried again when its target has ended") {
     gateway_world world{{body_framing::chunks, "", false, response_close::orderly, true}};
