--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -207,7 +207,10 @@
     bool refuse_if_quarantined() {
         auto left = quarantine_remaining(owner_.crashes, fingerprint_, loop_now(owner_.loop));
         for (auto const& part : parts_) {
-            left = std::max(left, part_remaining(part));
+            if (auto const of_part = part_remaining(part); of_part > left) {
+                left = of_part;
+                quarantined_part_ = part;
+            }
         }
         if (left <= duration::zero()) {
             return false;
@@ -1147,6 +1150,9 @@
                                       {"attempts", sends_},
                                       {"target", target_id_},
                                       {"took_ms", in_millis(now - request_.first_byte_at)}};
+        if (!quarantined_part_.empty()) {
+            fields.emplace_back("part", quarantined_part_);
+        }
         if (wait_cause_ != wait_cause::none) {
             auto const interval = free_slot_interval(owner_.slot_flows[service_], now);
             fields.emplace_back("waited_for", name_of(wait_cause_));
@@ -1193,6 +1199,7 @@
     std::string team_;
     std::string fingerprint_;
     std::vector<std::string> parts_; ///< fingerprints of the prompt's parts but the last
+    std::string quarantined_part_;   ///< for which the request is refused; may be empty
     std::string prior_crash_id_;     ///< last crash seen under this request; may be empty
     /// Set when the request is quarantined.
     std::optional<std::chrono::milliseconds> quarantine_left_;
