Quarantine: parts whose quarantine is over make room in the table

What callers would see: requests that crash targets are not quarantined for an hour. A part stays in the table for an hour after its quarantine of 15 s, and a quarantined entry was never dropped for room; 48 crashes with a dozen rare parts each fill the table. Evidence: "parts whose quarantine is over make room in the table" failed before.

--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -72,13 +72,14 @@
     }
 }
 
-/// Makes room by dropping the oldest suspect; a quarantined entry is never dropped for room.
+/// Makes room by dropping the oldest suspect; an entry is never dropped during its quarantine.
 bool make_room(quarantine_table& table) {
     if (table.entries.size() < table.limits.entries) {
         return true;
     }
     for (auto const& [at, fingerprint] : table.ages) {
-        if (!table.entries.at(fingerprint).quarantined) {
+        auto const& entry = table.entries.at(fingerprint);
+        if (!entry.quarantined || quarantine_is_over(entry, table.limits, table.latest)) {
             remove_entry(table, std::string{fingerprint});
             return true;
         }
--- a/tests/gateway_parts_test.cpp
+++ b/tests/gateway_parts_test.cpp
@@ -108,6 +108,21 @@
     }
 }
 
+// Guards requests that crash targets against a flood of parts: the table would have no room for
+// them.
+TEST_CASE("parts whose quarantine is over make room in the table") {
+    quarantine_table table;
+    table.limits.entries = 50;
+    for (int number = 0; number < 50; ++number) {
+        crash(table, 1'000, {make_part(part_fingerprint(std::to_string(number)), true)});
+    }
+    crash(table, 2'000, {make_part(deadly, true)});
+    CHECK_FALSE(table.entries.contains(deadly));
+    crash(table, 20'000, {make_part(deadly, true)});
+    CHECK(refuses(table, deadly, 20'000));
+    CHECK(table.entries.size() == 50);
+}
+
 TEST_CASE("the verdict on a part survives a snapshot and a message") {
     quarantine_table table;
     crash(table, 1'000, {make_part(deadly, true), make_part(shared, false)});
