Gateway: a request that waited for a slot is asked again whether a part of it is being tried

Two requests with a part on trial that waited for the same slots were sent together and could crash two groups. Fix: the quarantine is asked again when a waiting request is admitted.

--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -246,8 +246,12 @@
         }
     }
 
-    // Sends the queued request if there is a free slot.
+    // Sends the queued request if there is a free slot, or refuses it.
+    // @return false if it waits on
     bool try_admit() {
+        if (refuse_if_quarantined()) {
+            return true;
+        }
         auto const choice = choose();
         check_room(choice);
         if (wait_cause_ != wait_cause::none) {
--- a/tests/gateway_parts_test.cpp
+++ b/tests/gateway_parts_test.cpp
@@ -274,6 +274,29 @@
     CHECK(world.call("resumable", "POST", prompt).status == 200);
 }
 
+// Regression (BUDGET): requests that waited for a slot were sent without asking again whether their
+// part is being tried.
+TEST_CASE("a part that is tried again runs once at a time also after a wait for a slot") {
+    gateway_world world{{body_framing::chunks, all_events}};
+    update_suspects(world.owner.crashes, 1,
+                    {{deadly, seconds{20}, milliseconds{0}, milliseconds{0}, false, true}},
+                    loop_now(world.owner.loop));
+    world.first_answers = false;
+    auto& target = world.owner.targets.at("first");
+    target.own_in_flight = target.announcement.slots;
+    raw_connection other{world.owner.loop};
+    other.socket.connect(parse_endpoint(world.address).value());
+    other.read();
+    other.write("POST /stream/2 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\nDeadline-Ms: 4000\r\n" +
+                prompt + "\r\n");
+    run_after(world.owner.loop, milliseconds{60}, [&] {
+        CHECK(world.owner.queued_calls.size() == 2);
+        target.own_in_flight = 0;
+    });
+    CHECK(world.call("resumable", "POST", prompt).status == 503);
+    CHECK(world.first.peers.size() == 1);
+}
+
 // Guards sound requests whose target ends: their parts are known, so they go on elsewhere at once.
 TEST_CASE("a request with known parts is tried again when its target has ended") {
     gateway_world world{{body_framing::chunks, "", false, response_close::orderly, true}};
