Gateway: a response whose end comes long after its last byte is not taken for whole

What callers would see (ORDER): the stream of a target that crashed arrives with the last chunk of a complete answer, if its connection ends only when a new incarnation listens at the address already, as when a partition heals, or when a rank cuts its streams off after the stall and the gateway has no load report. Cause: the check connected to the new incarnation and took it for the old one. Fix: a whole response ends at once after its last byte. One that ends later than half of the time for which a group waits for a dead rank is broken, and so is one whose target's address has a new owner.

--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -632,6 +632,7 @@
         }
         response_ = std::move(answer);
         response_head_ = head;
+        last_byte_at_ = loop_now(owner_.loop);
         apply_target_notices();
         return true;
     }
@@ -667,6 +668,7 @@
     }
 
     bool on_body(std::string const& bytes) {
+        last_byte_at_ = loop_now(owner_.loop);
         if (!is_streaming()) {
             response_body_ += bytes;
             if (response_body_.size() > max_response_bytes) {
@@ -759,6 +761,7 @@
     void on_exchange_end(exchange_end const& end) {
         exchange_.reset();
         exchange_end_ = end;
+        exchange_ended_at_ = loop_now(owner_.loop);
         release_slot();
         auto const how = end.result;
         if (how == exchange_result::complete) {
@@ -830,7 +833,7 @@
         end.stream = is_streaming();
         end.cut = is_cut(splitter_);
         end.has_event = splitter_.event_count > 0 || splitter_.last_id;
-        end.target_changed = target_changed();
+        end.target_changed = target_changed() || ended_late();
         end.target_runs = target_runs;
         auto const verdict = judge_response_end(end);
         if (verdict == response_verdict::check_target) {
@@ -848,6 +851,13 @@
         finish_attempt(attempt_result::broken);
     }
 
+    // Whether the response ended long after its last byte. A whole one ends at once. One that a
+    // crash or a partition cut off may end seconds later, when a new incarnation listens at the
+    // address; ranks of a broken group end theirs after the stall.
+    [[nodiscard]] bool ended_late() const {
+        return exchange_ended_at_ - last_byte_at_ > owner_.settings.bounds.stall / 2;
+    }
+
     // Whether the target has restarted, or its group has broken, since the request was sent. All
     // ranks of a group break off their streams when one rank ends, and keep running.
     [[nodiscard]] bool target_changed() {
@@ -859,7 +869,8 @@
         bool const group_broke = group && sent_to_.group && group->name == sent_to_.group->name &&
                                  (group->epoch != sent_to_.group->epoch ||
                                   (!group->open && group->reported_at > sent_at_));
-        return group_broke || known->announcement.started_at != sent_to_.started_at;
+        return group_broke || known->announcement.state == target_phase::departed ||
+               known->announcement.started_at != sent_to_.started_at;
     }
 
     // Connects to the target again. The connection is kept for a later request, which needs one,
@@ -1236,6 +1247,8 @@
     std::uint64_t events_before_run_{0};
     std::shared_ptr<target_exchange> exchange_;
     exchange_end exchange_end_; ///< of the last attempt that ended
+    time_point exchange_ended_at_{};
+    time_point last_byte_at_{}; ///< of the response
     std::optional<target_response> response_;
     message_head response_head_;
     std::string response_body_;
--- a/tests/gateway_unframed_test.cpp
+++ b/tests/gateway_unframed_test.cpp
@@ -113,6 +113,34 @@
     }
 }
 
+// Regression (ORDER): the end of a stream arrived seconds after its target had crashed, when a new
+// incarnation already listened at the address. The same happens when a partition heals.
+TEST_CASE("a response whose end comes long after its last byte is not taken for whole") {
+    for (auto const& route : routes) {
+        CAPTURE(route);
+        auto const part = is_stream(route) ? std::string{event_1} : plain_body.substr(0, 7);
+        gateway_world world{{body_framing::connection, part, false, response_close::none}};
+        world.owner.settings.bounds.stall = std::chrono::milliseconds{60};
+        run_after(world.owner.loop, std::chrono::milliseconds{200},
+                  [&] { world.first.peers.at(0)->socket.shutdown(tcp::socket::shutdown_send); });
+        check_broken(route, world.call(route));
+    }
+}
+
+// Regression (ORDER): as above, once the new incarnation is known.
+TEST_CASE("a response of a target whose address has a new owner is not taken for whole") {
+    for (auto const& route : routes) {
+        CAPTURE(route);
+        auto const part = is_stream(route) ? std::string{event_1} : plain_body.substr(0, 7);
+        gateway_world world{{body_framing::connection, part, false, response_close::none}};
+        run_after(world.owner.loop, std::chrono::milliseconds{60}, [&] {
+            world.owner.targets.at("first").announcement.state = target_phase::departed;
+            world.first.peers.at(0)->socket.shutdown(tcp::socket::shutdown_send);
+        });
+        check_broken(route, world.call(route));
+    }
+}
+
 // Guards against a verdict without evidence: a target that does not answer the check in time may
 // have ended together with its VM.
 TEST_CASE("a response that ends with its connection is complete only if its target still runs") {
