Gateway: its own verdicts hold only for crashes that the registrars have not recorded

What callers saw: a sound request that many callers send was refused for an hour by one gateway. It had seen the request on three crashed targets; the registrars knew what explained the crashes and had withdrawn their verdict, but the gateway's own table, which is for times without registrars, had convicted it as well and overruled them. Fix: when a report is recorded, the gateway keeps only the last crash of its requests and no verdict of its own.

--- a/src/crashtracker.cpp
+++ b/src/crashtracker.cpp
@@ -125,12 +125,20 @@
     }
 }
 
-// The registrars' table has these parts now, and their list brings the verdict or withdraws it.
-void forget_own_parts(crash_tracker& tracker, target_crash const& ended) {
+// The registrars' table has this crash now, and their list brings the verdict or withdraws it. Of a
+// request its last crash is kept, for last_crash_id().
+void forget_own_verdict(crash_tracker& tracker, target_crash const& ended) {
+    auto& table = tracker.local_table;
     for (auto const& run : ended.runs) {
         if (names_part(run.fingerprint)) {
-            apply(tracker.local_table,
-                  {tracker.local_table.latest, release_fingerprint{run.fingerprint, {}}});
+            apply(table, {table.latest, release_fingerprint{run.fingerprint, {}}});
+            continue;
+        }
+        auto const found = table.entries.find(run.fingerprint);
+        if (found != table.entries.end() && !found->second.crashes.empty()) {
+            auto& crashes = found->second.crashes;
+            crashes.erase(crashes.begin(), crashes.end() - 1);
+            found->second.quarantined = false;
         }
     }
 }
@@ -282,7 +290,7 @@
         return;
     }
     if (auto const* ended = std::get_if<target_crash>(&found->second.content)) {
-        forget_own_parts(tracker, *ended);
+        forget_own_verdict(tracker, *ended);
     }
     tracker.pending_reports.erase(found);
 }
--- a/tests/gateway_crashing_test.cpp
+++ b/tests/gateway_crashing_test.cpp
@@ -314,6 +314,26 @@
     }
 }
 
+// Regression: a gateway that had seen a sound request on three crashed targets refused it for an
+// hour, although the registrars knew what explained the crashes.
+TEST_CASE("a gateway decides alone only about crashes that the registrars have not recorded") {
+    for (bool const recorded : {false, true}) {
+        crash_tracker tracker;
+        for (std::int64_t crash = 1; crash <= 3; ++crash) {
+            auto const at = 1'000 * crash;
+            record_crashes(tracker, {make_lost_run("hot", "t" + std::to_string(crash), at)},
+                           at_ms(at + 1));
+            for (auto const& report : take_due_reports(tracker, at_ms(at + 1))) {
+                if (recorded) {
+                    acknowledge_report(tracker, report.number);
+                }
+            }
+            CHECK(last_crash_id(tracker, "hot").starts_with("t" + std::to_string(crash)));
+        }
+        CHECK(is_refused(tracker, "hot", 7'000) == !recorded);
+    }
+}
+
 // A reset connection or a lost response does not mean that the target has ended.
 TEST_CASE("a lost run counts as a crash only if its target has ended") {
     lost_runs runs;
--- a/tests/gateway_endless_test.cpp
+++ b/tests/gateway_endless_test.cpp
@@ -200,8 +200,8 @@
     for (std::string const line_end : {"\n", "\r\n", "\r"}) {
         std::string stream;
         for (int event = 1; event <= 40; ++event) {
-            stream += "id: " + std::to_string(event) + line_end +
-                      "data: " + std::string(event % 7, 'x') + line_end + line_end;
+            stream.append("id: ").append(std::to_string(event)).append(line_end);
+            stream.append("data: ").append(event % 7, 'x').append(line_end).append(line_end);
         }
         for (int round = 0; round < 200; ++round) {
             event_splitter splitter;
