--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -229,7 +229,7 @@
     bool const changed =
         before.quarantined != entry.quarantined || before.crashes.size() != entry.crashes.size();
     table.revision += changed ? 1 : 0;
-    return changed || before.has_finished != entry.has_finished;
+    return changed;
 }
 
 } // namespace
