--- a/review/lab.py
+++ b/review/lab.py
@@ -25,6 +25,7 @@
 HEARTBEAT = 1.2  # seconds
 GRACE = 8.0  # seconds from SIGTERM to SIGKILL
 ZONES = ("a", "b", "c")
+LONGEST = 110.0  # seconds of a case
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BOUNDS = {
     "seed_lag_s": 3,
@@ -520,7 +521,8 @@
     record.note(f"trouble {'on' if TROUBLE else 'off'}")
 
     async def limited():
-        return await asyncio.wait_for(case(record), 110)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await asyncio.wait_for(case(record), LONGEST)
 
     try:
         broken = asyncio.run(limited())
