--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -591,7 +591,9 @@
                      {"group_limit", group_state().limit},
                      {"waited_ms", in_millis(now - request_.first_byte_at)},
                      {"left_ms", time_left().count()}});
-        exchange_ = owner_.pool.start(make_target_request(chosen), exchange_handlers());
+        auto request = make_target_request(chosen);
+        request_bytes_ = request.bytes.size();
+        exchange_ = owner_.pool.start(std::move(request), exchange_handlers());
     }
 
     target_request make_target_request(target_view const& chosen) {
@@ -1039,6 +1041,9 @@
                      {"status", response_ ? response_->status : 0},
                      {"framing", name_of(exchange_end_.framing)},
                      {"connection", name_of(exchange_end_.connection)},
+                     {"reused", exchange_end_.reused},
+                     {"sent_bytes", exchange_end_.sent_bytes},
+                     {"request_bytes", request_bytes_},
                      {"events", run_events()},
                      {"partial_bytes", partial_bytes},
                      {"after_ms", in_millis(loop_now(owner_.loop) - sent_at_)},
@@ -1246,7 +1251,8 @@
     bool waiting_for_config_{false};
     std::uint64_t events_before_run_{0};
     std::shared_ptr<target_exchange> exchange_;
-    exchange_end exchange_end_; ///< of the last attempt that ended
+    exchange_end exchange_end_;    ///< of the last attempt that ended
+    std::size_t request_bytes_{0}; ///< encoded size of the request, as last sent
     time_point exchange_ended_at_{};
     time_point last_byte_at_{}; ///< of the response
     std::optional<target_response> response_;
--- a/src/targetpool.cpp
+++ b/src/targetpool.cpp
@@ -88,6 +88,7 @@
     void begin() {
         if (auto pooled = pool_->take_idle(request_.address, request_.max_idle)) {
             ++pool_->counters.reused;
+            reused_ = true;
             socket_ = std::move(*pooled);
             send();
             return;
@@ -170,26 +171,36 @@
         auto const notify = std::exchange(callbacks_, {}).on_end;
         if (notify) {
             auto const framing = head_delivered_ ? reader_.framing() : body_framing::none;
-            notify({outcome, framing, connection_});
+            notify({outcome, framing, connection_, sent_bytes_, reused_});
         }
     }
 
     // After a response that came before the request was sent in full, the target still expects the
     // rest of the body.
     bool reusable() {
-        return request_sent_ && reader_.keep_alive() && !reader_.ends_with_connection() &&
+        return request_sent() && reader_.keep_alive() && !reader_.ends_with_connection() &&
                !saw_unmatched_ && reader_.take_rest().empty();
     }
 
+    [[nodiscard]] bool request_sent() const { return sent_bytes_ == request_.bytes.size(); }
+
     void send() {
-        net::async_write(socket_, net::buffer(request_.bytes),
-                         [self = shared_from_this()](net_error failed, std::size_t /*size*/) {
-                             self->request_sent_ = !failed;
-                         });
+        write_rest();
         read();
     }
 
+    // Writes in steps, since a composed write does not tell how much it has written before it ends.
     // A response may have arrived before a write failed, so the read decides how the exchange ends.
+    void write_rest() {
+        socket_.async_write_some(net::buffer(request_.bytes) + sent_bytes_,
+                                 [self = shared_from_this()](net_error failed, std::size_t size) {
+                                     self->sent_bytes_ += size;
+                                     if (!failed && !self->ended_ && !self->request_sent()) {
+                                         self->write_rest();
+                                     }
+                                 });
+    }
+
     void read() {
         socket_.async_read_some(net::buffer(chunk_),
                                 [self = shared_from_this()](net_error failed, std::size_t size) {
@@ -213,7 +224,7 @@
         if (head_delivered_) {
             end(exchange_result::response_failed);
         } else {
-            end(request_sent_ ? exchange_result::no_response : exchange_result::send_failed);
+            end(request_sent() ? exchange_result::no_response : exchange_result::send_failed);
         }
     }
 
@@ -295,7 +306,8 @@
     unsigned skipped_responses_{0};
     std::size_t skipped_bytes_{0};
     connection_end connection_{connection_end::open};
-    bool request_sent_{false};
+    std::size_t sent_bytes_{0};
+    bool reused_{false};
     bool head_delivered_{false};
     bool skipping_{false};
     bool saw_unmatched_{false};
--- a/src/targetpool.h
+++ b/src/targetpool.h
@@ -7,6 +7,7 @@
 #include "httpmessage.h"
 #include "netio.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -35,6 +36,8 @@
     exchange_result result{exchange_result::not_connected};
     body_framing framing{body_framing::none}; ///< of the response; `none` before its head
     connection_end connection{connection_end::open};
+    std::size_t sent_bytes{0}; ///< of the request, taken by the connection
+    bool reused{false};        ///< the connection had served an earlier exchange
 };
 
 /// A request to a target.
--- a/tests/gateway_socket_test.cpp
+++ b/tests/gateway_socket_test.cpp
@@ -237,6 +237,41 @@
     CHECK(unreachable.end == exchange_result::not_connected);
 }
 
+// Only an exchange of which the connection took no byte proves that the target has not received the
+// request.
+TEST_CASE("an exchange tells how much of its request the connection took") {
+    event_loop loop;
+    raw_target target{loop};
+    target_pool pool{loop.context, loop.clock};
+    std::string const body(16U << 20U, 'x');
+    auto const long_head = "GET / HTTP/1.1\r\nX: " + body + "\r\n\r\n";
+    auto const long_request = format_request("POST", "/", {{"Host", "h"}}, body, true);
+    for (auto const& request : {long_head, long_request, std::string{plain_request}}) {
+        std::optional<exchange_end> end;
+        auto const before = target.peers.size();
+        auto const call = pool.start(request_to(target.address, request),
+                                     {nullptr, nullptr, [&](auto const& ended) { end = ended; }});
+        REQUIRE(run_until(loop, [&] {
+            return target.peers.size() > before && !target.peers[before]->received.empty();
+        }));
+        auto& peer = *target.peers[before];
+        peer.reads = false;
+        run_briefly(loop);
+        peer.reset();
+        REQUIRE(run_until(loop, [&] { return end.has_value(); }));
+        CHECK(end->sent_bytes > 0);
+        bool const whole = request == plain_request;
+        CHECK((end->sent_bytes == request.size()) == whole);
+        CHECK(end->result == (whole ? exchange_result::no_response : exchange_result::send_failed));
+    }
+    std::optional<exchange_end> refused;
+    auto const call = pool.start(request_to(address_of(free_port()), long_request),
+                                 {nullptr, nullptr, [&](auto const& ended) { refused = ended; }});
+    REQUIRE(run_until(loop, [&] { return refused.has_value(); }));
+    CHECK(refused->sent_bytes == 0);
+    CHECK(refused->result == exchange_result::not_connected);
+}
+
 // A target may respond before it has read a long body and then read the rest; a further request on
 // the connection would be taken for that rest.
 TEST_CASE("after an early response the connection is not reused") {
--- a/tests/rawsocket.h
+++ b/tests/rawsocket.h
@@ -47,6 +47,7 @@
     tcp::socket socket;
     std::string received;
     bool ended{false};
+    bool reads{true}; ///< false: what arrives stays in the socket's buffer
     net_error failure;
     std::array<char, 4096> chunk{};
 
@@ -55,7 +56,7 @@
             received.append(chunk.data(), size);
             ended = static_cast<bool>(failed);
             failure = failed;
-            if (!failed) {
+            if (!failed && reads) {
                 read();
             }
         });
