Gateway: a request of which a part was sent may have run

Cause: decide_after_attempt took send_cut, a connection that failed before the whole request was written, for a request that had not run. A target may begin to run a request when its head has arrived.

--- a/src/retrypolicy.h
+++ b/src/retrypolicy.h
@@ -13,13 +13,15 @@
 
 /// How an attempt ended.
 enum class attempt_result : std::uint8_t {
-    not_connected, ///< the connection could not be opened, so nothing was sent
-    send_cut,      ///< the connection failed before the whole request had been written to it
-    refused,       ///< the target stated that it did not run the request
-    wrong_target,  ///< another incarnation listens at the address; it did not run the request
-    lost,          ///< the whole request was sent, but no usable response arrived
-    broken,        ///< the response ended early
-    failed         ///< the target ran the request and responded with a failure
+    not_connected, ///< the connection could not be opened or took no byte, so nothing was sent
+    /// The connection failed after it had taken a part of the request. A target may run a request
+    /// before it has read the whole body.
+    send_cut,
+    refused,      ///< the target stated that it did not run the request
+    wrong_target, ///< another incarnation listens at the address; it did not run the request
+    lost,         ///< the whole request was sent, but no usable response arrived
+    broken,       ///< the response ended early
+    failed        ///< the target ran the request and responded with a failure
 };
 
 /// State of a request over all of its attempts.
@@ -79,8 +81,9 @@
 template <class take_budget_function>
 call_action decide_after_attempt(call_progress& progress, attempt_result result, bool time_left,
                                  take_budget_function&& take_budget) {
-    progress.may_have_run = progress.may_have_run || result == attempt_result::lost ||
-                            result == attempt_result::broken || result == attempt_result::failed;
+    progress.may_have_run = progress.may_have_run || result == attempt_result::send_cut ||
+                            result == attempt_result::lost || result == attempt_result::broken ||
+                            result == attempt_result::failed;
     bool const safe = !progress.may_have_run || is_retry_safe(progress);
     bool const attempts_left =
         (progress.distinct_targets < progress.max_attempts || progress.may_retry_same_target) &&
--- a/src/targetpool.cpp
+++ b/src/targetpool.cpp
@@ -182,6 +182,17 @@
                !saw_unmatched_ && reader_.take_rest().empty();
     }
 
+    // The result of an exchange whose connection has failed.
+    [[nodiscard]] exchange_result failed_result() const {
+        if (head_delivered_) {
+            return exchange_result::response_failed;
+        }
+        if (sent_bytes_ == 0) {
+            return exchange_result::not_connected;
+        }
+        return request_sent() ? exchange_result::no_response : exchange_result::send_failed;
+    }
+
     [[nodiscard]] bool request_sent() const { return sent_bytes_ == request_.bytes.size(); }
 
     void send() {
@@ -221,11 +232,7 @@
             deliver();
             return;
         }
-        if (head_delivered_) {
-            end(exchange_result::response_failed);
-        } else {
-            end(request_sent() ? exchange_result::no_response : exchange_result::send_failed);
-        }
+        end(failed_result());
     }
 
     void process_bytes(std::string_view bytes) {
--- a/src/targetpool.h
+++ b/src/targetpool.h
@@ -18,9 +18,9 @@
 /// Outcome of an exchange.
 enum class exchange_result : std::uint8_t {
     complete,
-    not_connected,  ///< nothing was sent
-    send_failed,    ///< failed before the whole request was written to the socket
-    no_response,    ///< failed after that, before a response head arrived
+    not_connected,  ///< no connection, or one that took no byte: nothing was sent
+    send_failed,    ///< failed after the connection had taken a part of the request
+    no_response,    ///< failed after it had taken the whole request, before a response head
     response_failed ///< the response ended early or was not valid HTTP
 };
 
