Gateway: a run that is lost during the send counts against its request

Cause: on_exchange_end reported a lost run only if the whole request had been sent.

Evidence: the test "a target that ends while a request is being sent counts as crashed under it" failed before for each long body at a target that ends (0 entries instead of 1), and passed for short bodies and for targets that keep running.

--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -770,8 +770,7 @@
             on_complete();
             return;
         }
-        record_failed_exchange(how == exchange_result::no_response ||
-                               how == exchange_result::response_failed);
+        record_failed_exchange(how != exchange_result::not_connected);
         switch (how) {
         case exchange_result::not_connected:
             finish_attempt(attempt_result::not_connected);
@@ -787,7 +786,7 @@
         }
     }
 
-    void record_failed_exchange(bool fully_sent) {
+    void record_failed_exchange(bool may_have_run) {
         auto* const known = current_target();
         if (known == nullptr) {
             return;
@@ -795,7 +794,7 @@
         auto const now = loop_now(owner_.loop);
         record_failure(*known, owner_.target_selection, now);
         // A draining target aborts its unfinished requests, which is no sign of a crash.
-        if (fully_sent && known->announcement.state == target_phase::ready) {
+        if (may_have_run && known->announcement.state == target_phase::ready) {
             record_lost_run(*known, now);
         }
     }
--- a/tests/gateway_cutsend_test.cpp
+++ b/tests/gateway_cutsend_test.cpp
@@ -73,4 +73,27 @@
     }
 }
 
+// Regression (BUDGET): a request that crashed its targets while its long body was being sent was
+// never recognized, and reached one target after the other.
+TEST_CASE("a target that ends while a request is being sent counts as crashed under it") {
+    for (std::string const route : {"idempotent", "once"}) {
+        for (auto const* const body : {&long_body, &short_body}) {
+            for (bool const target_ends : {false, true}) {
+                CAPTURE(route);
+                CAPTURE(body->size());
+                CAPTURE(target_ends);
+                gateway_world world{reset_without_response(target_ends)};
+                set_max_attempts(world, 1);
+                world.use_small_buffers();
+                world.listener->set_limits({1'024, long_body.size()});
+                world.first_reads_body = false;
+                CHECK(world.call(route, "POST", {}, *body).status == 502);
+                REQUIRE(run_until(world.owner.loop,
+                                  [&] { return world.owner.targets_being_checked.empty(); }));
+                CHECK(world.owner.crashes.local_table.entries.size() == (target_ends ? 1 : 0));
+            }
+        }
+    }
+}
+
 } // namespace fireflycrank
