Gateway: a response that is reset while its request is being sent is not whole

Callers saw: a response with neither a length nor chunks, cut by a reset before its target had read the whole request, as a complete one with 200 (MIXED).

Cause: the kernel reports a reset to one call only. The write in progress took it, and the read after it returned the end of an orderly close, which marks the end of such a response.

Why it works: the event loop completes the write before the read, and an end that follows a failed write counts as a reset.

--- a/src/targetpool.cpp
+++ b/src/targetpool.cpp
@@ -206,6 +206,7 @@
         socket_.async_write_some(net::buffer(request_.bytes) + sent_bytes_,
                                  [self = shared_from_this()](net_error failed, std::size_t size) {
                                      self->sent_bytes_ += size;
+                                     self->write_failed_ = static_cast<bool>(failed);
                                      if (!failed && !self->ended_ && !self->request_sent()) {
                                          self->write_rest();
                                      }
@@ -226,9 +227,11 @@
             process_bytes(std::string_view{chunk_.data(), size});
             return;
         }
-        connection_ = failed == net::error::eof ? connection_end::closed : connection_end::failed;
-        if (failed == net::error::eof && reader_.head_complete() &&
-            reader_.put_eof() == read_fault::none) {
+        // The kernel reports a reset once. After a write that failed with it, reads see the end of
+        // an orderly close.
+        bool const orderly = failed == net::error::eof && !write_failed_;
+        connection_ = orderly ? connection_end::closed : connection_end::failed;
+        if (orderly && reader_.head_complete() && reader_.put_eof() == read_fault::none) {
             deliver();
             return;
         }
@@ -315,6 +318,7 @@
     connection_end connection_{connection_end::open};
     std::size_t sent_bytes_{0};
     bool reused_{false};
+    bool write_failed_{false};
     bool head_delivered_{false};
     bool skipping_{false};
     bool saw_unmatched_{false};
--- a/tests/gateway_cutsend_test.cpp
+++ b/tests/gateway_cutsend_test.cpp
@@ -73,6 +73,22 @@
     }
 }
 
+// Regression (MIXED): the write that was still in progress took the connection's reset, after which
+// the read saw an orderly end, and a response without framing looked complete.
+TEST_CASE("a response that is reset while its request is being sent is not taken for whole") {
+    for (std::string const route : {"stream", "once"}) {
+        CAPTURE(route);
+        auto const part = route == "stream" ? std::string{event_1} : plain_body.substr(0, 7);
+        gateway_world world{{body_framing::connection, part, false, response_close::reset}};
+        world.use_small_buffers();
+        world.listener->set_limits({1'024, long_body.size()});
+        world.first_reads_body = false;
+        auto const outcome = world.call(route, "POST", {}, long_body);
+        bool const shows_failure = outcome.status == 502 || !outcome.complete;
+        CHECK(shows_failure);
+    }
+}
+
 // Regression (BUDGET): a request that crashed its targets while its long body was being sent was
 // never recognized, and reached one target after the other.
 TEST_CASE("a target that ends while a request is being sent counts as crashed under it") {
