Gateway: a refused request is not sent again on the connection that brought the refusal

Cause: all sends of a call bear one attempt id. A target that refused was offered the request again over the connection on which it had refused, since the pool gives out the connection that was used last.

--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -611,6 +611,7 @@
         out.head_only = request_.head.method == "HEAD";
         out.connect_timeout = connect_timeout;
         out.max_idle = is_retry_safe(progress_) ? retryable_max_idle : non_retryable_max_idle;
+        out.excluded_connections = refused_on_;
         return out;
     }
 
@@ -814,6 +815,7 @@
 
     void on_complete() {
         if (response_->not_executed) {
+            refused_on_.push_back(exchange_end_.connection_id);
             record_refusal();
             finish_attempt(response_->status == misdirected_request ? attempt_result::wrong_target
                                                                     : attempt_result::refused);
@@ -1238,6 +1240,9 @@
     duration longest_pause_{};
     std::vector<std::string> tried_targets_; ///< targets that the request was sent to
     std::vector<std::string> excluded_;      ///< those of them that must not be tried again
+    /// Connections on which the request was refused. A late copy of the refusal would be taken for
+    /// the answer to another send, which has the same attempt id.
+    std::vector<std::uint64_t> refused_on_;
     unsigned sends_{0};
     std::string target_id_;
     incarnation_sent_to sent_to_;
--- a/src/targetpool.cpp
+++ b/src/targetpool.cpp
@@ -28,6 +28,7 @@
 constexpr std::size_t max_skipped_bytes = 1U << 20U;
 
 struct idle_connection {
+    std::uint64_t id;
     tcp::socket socket;
     time_point idle_since;
     std::chrono::milliseconds idle_limit;
@@ -68,9 +69,9 @@
     std::map<exchange*, std::weak_ptr<exchange>> connecting;
     std::vector<std::weak_ptr<connect_probe>> probes;
     target_pool_counters counters;
+    std::uint64_t last_connection_id{0};
 
-    std::optional<tcp::socket> take_idle(std::string const& address,
-                                         std::chrono::milliseconds max_idle);
+    std::optional<idle_connection> take_idle(target_request const& request);
 };
 
 namespace {
@@ -86,10 +87,11 @@
         , reader_{make_reader()} {}
 
     void begin() {
-        if (auto pooled = pool_->take_idle(request_.address, request_.max_idle)) {
+        if (auto pooled = pool_->take_idle(request_)) {
             ++pool_->counters.reused;
             reused_ = true;
-            socket_ = std::move(*pooled);
+            connection_id_ = pooled->id;
+            socket_ = std::move(pooled->socket);
             send();
             return;
         }
@@ -113,6 +115,7 @@
                 return;
             }
             tune_socket(self->socket_, unacknowledged_timeout);
+            self->connection_id_ = ++self->pool_->last_connection_id;
             self->send();
         });
     }
@@ -164,14 +167,14 @@
         ended_ = true;
         if (outcome == exchange_result::complete && reusable()) {
             pool_->idle[request_.address].push_back(
-                {std::move(socket_), now(*pool_->clock), idle_limit_});
+                {connection_id_, std::move(socket_), now(*pool_->clock), idle_limit_});
         } else {
             close();
         }
         auto const notify = std::exchange(callbacks_, {}).on_end;
         if (notify) {
             auto const framing = head_delivered_ ? reader_.framing() : body_framing::none;
-            notify({outcome, framing, connection_, sent_bytes_, reused_});
+            notify({outcome, framing, connection_, sent_bytes_, reused_, connection_id_});
         }
     }
 
@@ -316,6 +319,7 @@
     unsigned skipped_responses_{0};
     std::size_t skipped_bytes_{0};
     connection_end connection_{connection_end::open};
+    std::uint64_t connection_id_{0};
     std::size_t sent_bytes_{0};
     bool reused_{false};
     bool write_failed_{false};
@@ -328,21 +332,26 @@
 
 } // namespace
 
-std::optional<tcp::socket>
-target_pool::implementation::take_idle(std::string const& address,
-                                       std::chrono::milliseconds max_idle) {
-    auto const found = idle.find(address);
+// Takes the connection that was idle for the shortest time, and drops those that cannot be used
+// any more.
+std::optional<idle_connection>
+target_pool::implementation::take_idle(target_request const& request) {
+    auto const found = idle.find(request.address);
     if (found == idle.end()) {
         return std::nullopt;
     }
     auto const at = now(*clock);
     auto& pooled = found->second;
-    while (!pooled.empty()) {
-        auto entry = std::move(pooled.back());
-        pooled.pop_back();
+    auto const& excluded = request.excluded_connections;
+    for (auto next = pooled.size(); next > 0; --next) {
+        if (std::find(excluded.begin(), excluded.end(), pooled[next - 1].id) != excluded.end()) {
+            continue;
+        }
+        auto entry = std::move(pooled[next - 1]);
+        pooled.erase(pooled.begin() + static_cast<std::ptrdiff_t>(next - 1));
         auto const age = at - entry.idle_since;
-        if (age < entry.idle_limit && age < max_idle && is_quiet(entry.socket)) {
-            return std::move(entry.socket);
+        if (age < entry.idle_limit && age < request.max_idle && is_quiet(entry.socket)) {
+            return entry;
         }
     }
     return std::nullopt;
@@ -373,23 +382,23 @@
     auto const attempt =
         std::make_shared<connect_probe>(*impl_->context, now(*impl_->clock) + timeout);
     impl_->probes.push_back(attempt);
-    attempt->socket.async_connect(
-        endpoint.value(),
-        [attempt, address, on_end, weak = std::weak_ptr{impl_}](net_error failed) {
-            auto const impl = weak.lock();
-            if (!impl) {
-                return;
-            }
-            if (!failed) {
-                tune_socket(attempt->socket, unacknowledged_timeout);
-                impl->idle[address].push_back(
-                    {std::move(attempt->socket), now(*impl->clock), default_idle_limit});
-            }
-            bool const refused = failed == net::error::connection_refused;
-            on_end(!failed   ? target_probe_result::connected
-                   : refused ? target_probe_result::refused
-                             : target_probe_result::timed_out);
-        });
+    attempt->socket.async_connect(endpoint.value(), [attempt, address, on_end,
+                                                     weak =
+                                                         std::weak_ptr{impl_}](net_error failed) {
+        auto const impl = weak.lock();
+        if (!impl) {
+            return;
+        }
+        if (!failed) {
+            tune_socket(attempt->socket, unacknowledged_timeout);
+            impl->idle[address].push_back({++impl->last_connection_id, std::move(attempt->socket),
+                                           now(*impl->clock), default_idle_limit});
+        }
+        bool const refused = failed == net::error::connection_refused;
+        on_end(!failed   ? target_probe_result::connected
+               : refused ? target_probe_result::refused
+                         : target_probe_result::timed_out);
+    });
 }
 
 void target_pool::expire_connections() {
--- a/src/targetpool.h
+++ b/src/targetpool.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace fireflycrank {
 
@@ -36,8 +37,9 @@
     exchange_result result{exchange_result::not_connected};
     body_framing framing{body_framing::none}; ///< of the response; `none` before its head
     connection_end connection{connection_end::open};
-    std::size_t sent_bytes{0}; ///< of the request, taken by the connection
-    bool reused{false};        ///< the connection had served an earlier exchange
+    std::size_t sent_bytes{0};      ///< of the request, taken by the connection
+    bool reused{false};             ///< the connection had served an earlier exchange
+    std::uint64_t connection_id{0}; ///< unique in the pool; 0 without a connection
 };
 
 /// A request to a target.
@@ -49,6 +51,8 @@
     /// A pooled connection that was idle for longer is not reused: the target may be closing it,
     /// and whether a request sent at that moment ran would be unknown.
     std::chrono::milliseconds max_idle{0};
+    /// Ids of pooled connections that are not used for this request.
+    std::vector<std::uint64_t> excluded_connections{};
 };
 
 /// Callbacks of an exchange.
--- a/tests/gateway_cutsend_test.cpp
+++ b/tests/gateway_cutsend_test.cpp
@@ -26,15 +26,6 @@
     world.owner.targets.erase("second");
 }
 
-void set_max_attempts(gateway_world& world, unsigned count) {
-    auto config = std::make_shared<service_config>(*world.owner.config);
-    for (auto& route : config->routes) {
-        route.max_attempts = count;
-    }
-    REQUIRE(index_config(*config));
-    world.owner.config = config;
-}
-
 } // namespace
 
 // Regression (TWICE, REFUSED): an order whose connection failed while its long body was being sent
--- a/tests/gatewayworld.h
+++ b/tests/gatewayworld.h
@@ -10,6 +10,7 @@
 
 #include <netinet/tcp.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -164,6 +165,11 @@
                 continue;
             }
             peer->received.clear();
+            if (first_handler) {
+                add_target("second", second.address);
+                first_handler(*peer);
+                continue;
+            }
             peer->reads = first_reads_body;
             add_target("second", second.address);
             if (!script.silent) {
@@ -228,8 +234,19 @@
     std::string address{address_of(free_port())};
     std::shared_ptr<http_listener> listener;
     int second_requests{0};
-    bool first_answers{true};    ///< false: it reads requests and says nothing
+    bool first_answers{true}; ///< false: it reads requests and says nothing
+    /// Answers requests at the first target in place of the script; may be empty.
+    std::function<void(raw_connection& peer)> first_handler;
     bool first_reads_body{true}; ///< false: it reads each connection to the end of a head
 };
 
+inline void set_max_attempts(gateway_world& world, unsigned count) {
+    auto config = std::make_shared<service_config>(*world.owner.config);
+    for (auto& route : config->routes) {
+        route.max_attempts = count;
+    }
+    REQUIRE(index_config(*config));
+    world.owner.config = config;
+}
+
 } // namespace fireflycrank
