Gateway: a response that is not written yet keeps its connection and its process

A request that came late in a grace period on a connection that an earlier stream had left open was aborted at its end.

Cause: the listener took a response for done when it was queued. max_linger began then, active_connections and close_idle did not look at unsent bytes, and close_idle looked at the connections that were idle at one moment only.

Evidence: gateway_stop_test, all five cases of which failed before: the response cut with the linger time over; not counted as active, and cut by close_idle; a connection that a stream left open after close_idle; a request that had arrived dropped by close_idle; the last one, which bounds how long a caller that reads nothing is waited for, lost its connection at once.

--- a/src/httplistener.cpp
+++ b/src/httplistener.cpp
@@ -43,6 +43,7 @@
     request_handler handler;
     listener_limits limits;
     bool closing_after_responses{false};
+    bool closing_idle{false};
     bool accepting{true};
     std::set<std::shared_ptr<connection>> connections;
 
@@ -131,6 +132,12 @@
 
     void enforce_timeouts(time_point at) {
         auto const& limits = listener_->limits;
+        if (phase_ != connection_phase::responding && has_unsent()) {
+            if (at - last_write_at_ > limits.idle_timeout) {
+                close(); // the caller reads nothing
+            }
+            return;
+        }
         bool const head_timed_out =
             !reader_.head_complete() && at - phase_began_ > limits.header_timeout;
         bool const body_timed_out = at - last_read_at_ > limits.idle_timeout;
@@ -147,14 +154,16 @@
         }
     }
 
+    // Closes the connection unless a request has arrived or a response is not written yet.
     void close_if_idle() {
-        if (phase_ == connection_phase::idle) {
+        if (phase_ == connection_phase::idle && !has_unsent() && is_quiet(socket_)) {
             close();
         }
     }
 
     [[nodiscard]] bool is_active() const {
-        return phase_ == connection_phase::reading || phase_ == connection_phase::responding;
+        return phase_ == connection_phase::reading || phase_ == connection_phase::responding ||
+               has_unsent();
     }
 
     void close() {
@@ -327,7 +336,12 @@
         // detected.
     }
 
+    [[nodiscard]] bool has_unsent() const { return unsent_bytes_ > 0; }
+
     void queue(std::string bytes) {
+        if (!has_unsent()) {
+            last_write_at_ = now(*listener_->clock);
+        }
         unsent_bytes_ += bytes.size();
         output_.push_back(std::move(bytes));
         write_queued();
@@ -343,15 +357,20 @@
             write_buffer_ += output_.front();
             output_.pop_front();
         }
-        net::async_write(socket_, net::buffer(write_buffer_),
-                         [self = shared_from_this()](net_error failed, std::size_t /*size*/) {
-                             self->on_written(failed);
-                         });
+        write_rest(0);
     }
 
-    void on_written(net_error const& failed) {
-        writing_ = false;
-        unsent_bytes_ -= std::min(unsent_bytes_, write_buffer_.size());
+    // Writes in steps, so that a caller that reads slowly can be told from one that reads nothing.
+    void write_rest(std::size_t offset) {
+        socket_.async_write_some(
+            net::buffer(write_buffer_) + offset,
+            [self = shared_from_this(), offset](net_error failed, std::size_t size) {
+                self->on_written(failed, offset + size, size);
+            });
+    }
+
+    void on_written(net_error const& failed, std::size_t offset, std::size_t size) {
+        unsent_bytes_ -= size;
         if (phase_ == connection_phase::closed) {
             return;
         }
@@ -359,11 +378,27 @@
             close();
             return;
         }
+        last_write_at_ = now(*listener_->clock);
+        if (offset < write_buffer_.size()) {
+            write_rest(offset);
+            return;
+        }
+        writing_ = false;
         if (!output_.empty()) {
             write_queued();
             return;
         }
+        on_flushed();
+    }
+
+    void on_flushed() {
+        if (phase_ != connection_phase::responding && phase_ != connection_phase::reading) {
+            phase_began_ = last_write_at_; // the caller can do nothing before
+        }
         shut_down_when_flushed();
+        if (listener_->closing_idle) {
+            close_if_idle();
+        }
         if (flushed_handler_) {
             auto const notify = flushed_handler_;
             notify();
@@ -371,7 +406,7 @@
     }
 
     void shut_down_when_flushed() {
-        if (!shutting_down_ || writing_ || !output_.empty()) {
+        if (!shutting_down_ || has_unsent()) {
             return;
         }
         shutting_down_ = false;
@@ -389,7 +424,8 @@
     connection_phase phase_{connection_phase::idle};
     time_point phase_began_{}; ///< when the current phase began
     time_point last_read_at_{};
-    std::uint64_t request_{0}; ///< sequence number of the last request on this connection
+    time_point last_write_at_{}; ///< when the socket last took bytes, or the first were queued
+    std::uint64_t request_{0};   ///< sequence number of the last request on this connection
     bool keep_alive_{true};
     bool head_only_{false};
     bool sent_continue_{false};
@@ -507,6 +543,7 @@
 }
 
 void http_listener::close_idle() {
+    impl_->closing_idle = true;
     auto const open = impl_->connections;
     for (auto const& one : open) {
         one->close_if_idle();
--- a/src/httplistener.h
+++ b/src/httplistener.h
@@ -88,11 +88,12 @@
     void close_after_responses();
     /// Stops accepting connections; open ones go on.
     void stop_accepting();
-    /// Closes connections that are waiting for a request.
+    /// Closes connections that wait for a request, from now on also those that begin to wait.
     void close_idle();
     /// Ends connections that exceeded a time limit; to be called about every 100 ms.
     void enforce_timeouts();
-    /// Number of connections on which a request is being received or answered.
+    /// Number of connections on which a request is being received or answered, or a response is not
+    /// written yet.
     [[nodiscard]] std::size_t active_connections() const;
 
     struct implementation;
--- /dev/null
+++ b/tests/gateway_stop_test.cpp
@@ -0,0 +1,146 @@
+// Tests of how the HTTP listener ends connections: a response is written to its end, whatever ends
+// the connection after it.
+#include "eventloop.h"
+#include "httplistener.h"
+#include "rawsocket.h"
+
+#include <doctest/doctest.h>
+
+namespace fireflycrank {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// More than the buffers of a connection take.
+std::string const long_body(16U << 20U, 'x');
+
+// A listener with one caller, which reads nothing until it is told to.
+struct slow_caller_world {
+    slow_caller_world() : caller{loop} {
+        auto opened = http_listener::open(
+            loop.context, address, loop.clock,
+            [this](incoming_request const&, std::shared_ptr<response_writer> const& writer) {
+                writers.push_back(writer);
+            });
+        REQUIRE(opened);
+        listener = opened.value();
+        caller.socket.connect(parse_endpoint(address).value());
+        pause(loop.clock, now(loop.clock));
+    }
+
+    void request(std::string const& more_headers = {}) {
+        auto const before = writers.size();
+        caller.write("GET / HTTP/1.1\r\nHost: h\r\n" + more_headers + "\r\n");
+        REQUIRE(run_until(loop, [&] { return writers.size() > before; }));
+    }
+
+    void let_pass(milliseconds time) {
+        run_briefly(loop);
+        advance_clock(loop.clock, time);
+        listener->enforce_timeouts();
+    }
+
+    // Lets the caller read until its connection ends, or the response is whole.
+    bool reads_whole_response() {
+        message_reader reader{http_kind::response, 4'096, 0};
+        caller.read();
+        std::size_t read = 0;
+        run_until(loop, [&] {
+            reader.put(std::string_view{caller.received}.substr(read));
+            read = caller.received.size();
+            return caller.ended || reader.complete();
+        });
+        return reader.complete() && reader.take_body() == long_body;
+    }
+
+    event_loop loop;
+    std::string address{address_of(free_port())};
+    std::shared_ptr<http_listener> listener;
+    std::vector<std::shared_ptr<response_writer>> writers;
+    raw_connection caller;
+};
+
+} // namespace
+
+// Regression (LOST): the time for the caller to close began when a response was queued, and when it
+// was over the connection was closed with the rest unsent.
+TEST_CASE("a response is written to its end before its connection is closed") {
+    for (bool const keep_alive : {false, true}) {
+        CAPTURE(keep_alive);
+        slow_caller_world world;
+        world.request(keep_alive ? "" : "Connection: close\r\n");
+        world.writers[0]->send(200, {}, long_body);
+        world.let_pass(milliseconds{5'000});
+        world.let_pass(milliseconds{5'000});
+        CHECK(world.reads_whole_response());
+        CHECK(run_until(world.loop, [&] { return world.listener->active_connections() == 0; }));
+    }
+}
+
+// Regression (LOST): a stopping process ended, or closed its idle connections, while responses were
+// not yet written.
+TEST_CASE("a connection with an unsent response is neither idle nor done") {
+    slow_caller_world world;
+    world.request();
+    world.writers[0]->send(200, {}, long_body);
+    run_briefly(world.loop);
+    CHECK(world.listener->active_connections() == 1);
+    world.listener->close_after_responses();
+    world.listener->close_idle();
+    CHECK(world.reads_whole_response());
+    CHECK(run_until(world.loop, [&] { return world.caller.ended; }));
+    CHECK(world.listener->active_connections() == 0);
+}
+
+// Regression (LOST): a stream that had started before the stop left its connection open, and a
+// request that came on it later was aborted at the end of the grace period.
+TEST_CASE("a connection that falls idle after close_idle() is closed") {
+    slow_caller_world world;
+    world.request();
+    world.writers[0]->start(200, {}, {});
+    world.writers[0]->write("event");
+    world.caller.read();
+    REQUIRE(run_until(world.loop,
+                      [&] { return world.caller.received.find("event") != std::string::npos; }));
+    world.listener->close_after_responses();
+    world.listener->close_idle();
+    CHECK(world.listener->active_connections() == 1);
+    world.writers[0]->finish();
+    CHECK(run_until(world.loop, [&] { return world.caller.ended; }));
+    CHECK(world.caller.received.ends_with(last_chunk));
+}
+
+// Guards against a request that a stopping process drops although it has arrived.
+TEST_CASE("a request that has arrived is served after close_idle()") {
+    slow_caller_world world;
+    world.caller.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    run_briefly(world.loop);
+    world.writers.at(0)->send(200, {}, "one");
+    run_briefly(world.loop);
+    world.caller.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    world.listener->close_after_responses();
+    world.listener->close_idle();
+    REQUIRE(run_until(world.loop, [&] { return world.writers.size() == 2; }));
+    world.writers[1]->send(200, {}, "two");
+    world.caller.read();
+    CHECK(run_until(world.loop, [&] { return world.caller.ended; }));
+    CHECK(world.caller.received.find("two") != std::string::npos);
+}
+
+// Guards against callers that hold memory by reading nothing.
+TEST_CASE("a caller that reads nothing for the idle timeout loses its connection") {
+    for (bool const keep_alive : {false, true}) {
+        CAPTURE(keep_alive);
+        slow_caller_world world;
+        world.listener->set_limits({16'384, 4'194'304, milliseconds{3'000}, milliseconds{15'000}});
+        world.request(keep_alive ? "" : "Connection: close\r\n");
+        world.writers[0]->send(200, {}, long_body);
+        world.let_pass(milliseconds{14'000});
+        CHECK(world.listener->active_connections() == 1);
+        world.let_pass(milliseconds{2'000});
+        CHECK(world.listener->active_connections() == 0);
+    }
+}
+
+} // namespace fireflycrank
