Gateway: a response without an attempt id says nothing on a kept connection

Callers could see: an order that ran twice, or a refusal or failure that belongs to another request, after a leftover without an attempt id on a kept connection.

Cause: on_head skips responses with another id, and took one without an id for the answer.

Evidence: the test "a response without an attempt id says nothing on a kept connection" failed before (5 assertions): a refusal without id sent the order to a second target, a 500 and a 404 without id were passed on.

Why it works: the attempt counts as lost, which is tried again only where that does no harm. On a new connection a response can only belong to the one request that was sent on it.

--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -813,7 +813,16 @@
         handle_lost_run(owner_, run);
     }
 
+    // A response without an attempt id may be left over from an earlier request on its connection.
+    [[nodiscard]] bool answers_this_request() const {
+        return !response_->attempt_id.empty() || !exchange_end_.reused;
+    }
+
     void on_complete() {
+        if (!answers_this_request()) {
+            finish_attempt(attempt_result::lost);
+            return;
+        }
         if (response_->not_executed) {
             refused_on_.push_back(exchange_end_.connection_id);
             record_refusal();
--- a/tests/gateway_refusal_test.cpp
+++ b/tests/gateway_refusal_test.cpp
@@ -71,6 +71,41 @@
     }
 }
 
+// Guards against a leftover of an earlier request that is taken for a statement about this one
+// (TWICE, REFUSED, MIXED): the attempt id is all that tells responses on a kept connection apart.
+TEST_CASE("a response without an attempt id says nothing on a kept connection") {
+    std::vector<std::string> const responses{
+        "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 500 X\r\nServer-Signature: s\r\nContent-Length: 2\r\n\r\nno",
+        "HTTP/1.1 404 X\r\nServer-Signature: s\r\nContent-Length: 2\r\n\r\nno"};
+    for (std::string const route : {"once", "idempotent"}) {
+        for (auto const& response : responses) {
+            for (bool const kept_connection : {false, true}) {
+                CAPTURE(route);
+                CAPTURE(response);
+                CAPTURE(kept_connection);
+                gateway_world world{{body_framing::length, plain_body, true, response_close::none}};
+                if (kept_connection) {
+                    REQUIRE(world.call(route).status == 200);
+                    world.owner.targets.erase("second");
+                }
+                world.first_handler = [&](raw_connection& peer) { peer.write(response); };
+                auto const status = world.call(route).status;
+                CHECK(world.owner.pool.counters().reused == (kept_connection ? 1 : 0));
+                bool const is_refusal = response == responses.front();
+                if (route == "idempotent" && (kept_connection || status != 404)) {
+                    CHECK(status == 200);
+                } else if (kept_connection) {
+                    CHECK(status == 502);
+                    CHECK(world.second_requests == 0);
+                } else {
+                    CHECK(status == (is_refusal ? 200 : std::stoul(response.substr(9, 3))));
+                }
+            }
+        }
+    }
+}
+
 // The target's own failures stay as they are: they promise nothing.
 TEST_CASE("a failure that promises nothing is passed on with the target's signature") {
     for (unsigned const status : {400U, 404U, 500U, 502U, 504U}) {
