Gateway: only the target itself proves that a response without framing is whole

Cause: whether the target still runs was asked by connecting to its address. A new incarnation that had not announced itself accepted the connection.

Why it works: the gateway asks for the id, with a health check on a new connection that names the target that it expects.

--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -30,6 +30,8 @@
 constexpr std::chrono::milliseconds response_slack{120};
 // With less time left, a target could not do anything useful.
 constexpr std::chrono::milliseconds min_time_left{15};
+// A target answers a health check within this time, also if the check waits for a slot.
+constexpr std::chrono::milliseconds target_check_timeout{500};
 // Parts of a prompt that a crash is reported for. Prompts of the known workloads have fewer.
 constexpr std::size_t max_suspect_parts = 8;
 constexpr std::size_t max_write_backlog = 256U << 10U;
@@ -838,7 +840,7 @@
     }
 
     // Finishes a complete response, or ends the attempt whose target broke it off.
-    // @param target_runs whether the target was found running after the response ended
+    // @param target_runs whether the target was found running after the response had ended
     void judge_response(std::optional<bool> target_runs) {
         response_end end;
         end.framing = exchange_end_.framing;
@@ -885,17 +887,45 @@
                known->announcement.started_at != sent_to_.started_at;
     }
 
-    // Connects to the target again. The connection is kept for a later request, which needs one,
-    // since this response has used up its own.
+    // Asks whoever listens at the target's address for its id: after a crash that may be another
+    // incarnation, which has not announced itself yet. The connection is kept for a later request,
+    // which needs one, since this response has used up its own.
     void check_response_target() {
         progress_.may_have_run = true; // the call may end before the check does
-        owner_.pool.probe(sent_to_.address, connect_timeout,
-                          [weak = weak_from_this()](target_probe_result found) {
-                              auto const self = weak.lock();
-                              if (self && !self->ended_) {
-                                  self->judge_response(found == target_probe_result::connected);
-                              }
-                          });
+        auto const* const service = find_service(*owner_.config, service_);
+        target_request request;
+        request.address = sent_to_.address;
+        request.bytes = format_request(
+            "GET", service == nullptr ? "/" : service->health_path,
+            platform::encode_health_headers(sent_to_.address, target_id_), {}, false);
+        request.connect_timeout = connect_timeout;
+        request.new_connection = true;
+        exchange_callbacks callbacks;
+        callbacks.on_head = [self = shared_from_this()](message_head const& head) {
+            auto const found = platform::decode_target_response(head);
+            self->same_target_answers_ = found.target_id.empty()
+                                             ? found.status != misdirected_request
+                                             : found.target_id == self->target_id_;
+            return true;
+        };
+        callbacks.on_end = [self = shared_from_this()](exchange_end const& end) {
+            self->end_target_check(end.result == exchange_result::complete);
+        };
+        same_target_answers_ = false;
+        target_check_ = owner_.pool.start(std::move(request), std::move(callbacks));
+        run_after(owner_.loop, target_check_timeout,
+                  [weak = weak_from_this(), check = std::weak_ptr{target_check_}] {
+                      auto const self = weak.lock();
+                      if (self && self->target_check_ && self->target_check_ == check.lock()) {
+                          self->target_check_->cancel();
+                          self->end_target_check(false);
+                      }
+                  });
+    }
+
+    void end_target_check(bool answered) {
+        target_check_.reset();
+        judge_response(answered && same_target_answers_);
     }
 
     void log_response_end(response_end const& end, response_verdict verdict) {
@@ -1213,6 +1243,10 @@
 
     void end() {
         ended_ = true;
+        if (target_check_) {
+            target_check_->cancel();
+            target_check_.reset();
+        }
         owner_.calls.erase(shared_from_this());
     }
 
@@ -1273,6 +1307,8 @@
     exchange_end exchange_end_;    ///< of the last attempt that ended
     std::size_t request_bytes_{0}; ///< encoded size of the request, as last sent
     time_point exchange_ended_at_{};
+    std::shared_ptr<target_exchange> target_check_; ///< of the last attempt's target
+    bool same_target_answers_{false};
     time_point last_byte_at_{}; ///< of the response
     std::optional<target_response> response_;
     message_head response_head_;
--- a/src/responseend.h
+++ b/src/responseend.h
@@ -21,7 +21,7 @@
     bool has_event{false}; ///< the response, or the one that it resumes, contains an event
     /// Since the request was sent, the target has restarted or its group has broken.
     bool target_changed{false};
-    /// Whether the target still accepts connections; nothing before that has been tried.
+    /// Whether the target itself still answers; nothing before it was asked.
     std::optional<bool> target_runs;
 };
 
--- a/src/targetpool.cpp
+++ b/src/targetpool.cpp
@@ -337,7 +337,7 @@
 std::optional<idle_connection>
 target_pool::implementation::take_idle(target_request const& request) {
     auto const found = idle.find(request.address);
-    if (found == idle.end()) {
+    if (request.new_connection || found == idle.end()) {
         return std::nullopt;
     }
     auto const at = now(*clock);
--- a/src/targetpool.h
+++ b/src/targetpool.h
@@ -53,6 +53,7 @@
     std::chrono::milliseconds max_idle{0};
     /// Ids of pooled connections that are not used for this request.
     std::vector<std::uint64_t> excluded_connections{};
+    bool new_connection{false}; ///< use none of the pooled connections
 };
 
 /// Callbacks of an exchange.
--- a/tests/gateway_unframed_test.cpp
+++ b/tests/gateway_unframed_test.cpp
@@ -141,6 +141,43 @@
     }
 }
 
+// Regression (MIXED): a crash behind a partition cut a response. When the partition healed, its
+// first part and its end arrived together, and the target's address accepted connections again: a
+// new incarnation listened there, which nobody had heard of yet.
+TEST_CASE("a response is not taken for whole because somebody listens at its target's address") {
+    std::vector<std::string> const strangers{
+        "HTTP/1.1 200 OK\r\nInstance-Id: reborn\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 X\r\nInstance-Id: reborn\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", "nonsense\r\n\r\n"};
+    for (auto const& route : routes) {
+        for (auto const& stranger : strangers) {
+            CAPTURE(route);
+            CAPTURE(stranger);
+            auto const part = is_stream(route) ? std::string{event_1} : plain_body.substr(0, 7);
+            gateway_world world{{body_framing::connection, part, false}};
+            world.health_response = stranger;
+            check_broken(route, world.call(route));
+        }
+    }
+}
+
+// A target without a free slot, or one that leaves, refuses health checks, and still has sent its
+// whole response.
+TEST_CASE("a target that refuses a health check is the one that it says it is") {
+    for (std::string const headers : {"Instance-Id: first\r\n", "Not-Executed: 1\r\n"}) {
+        for (auto const& route : routes) {
+            CAPTURE(headers);
+            CAPTURE(route);
+            gateway_world world{{body_framing::connection, body_of(route)}};
+            world.health_response = "HTTP/1.1 503 X\r\n" + headers + "Content-Length: 0\r\n\r\n";
+            auto const outcome = world.call(route);
+            CHECK(outcome.complete);
+            CHECK(outcome.body == body_of(route));
+            CHECK(world.second_requests == 0);
+        }
+    }
+}
+
 // Guards against a verdict without evidence: a target that does not answer the check in time may
 // have ended together with its VM.
 TEST_CASE("a response that ends with its connection is complete only if its target still runs") {
--- a/tests/gatewayworld.h
+++ b/tests/gatewayworld.h
@@ -164,7 +164,12 @@
             if (!first_answers || peer->received.find("\r\n\r\n") == std::string::npos) {
                 continue;
             }
+            bool const is_health_check = peer->received.starts_with("GET /healthz ");
             peer->received.clear();
+            if (is_health_check) {
+                peer->write(health_response);
+                continue;
+            }
             if (first_handler) {
                 add_target("second", second.address);
                 first_handler(*peer);
@@ -235,6 +240,9 @@
     std::shared_ptr<http_listener> listener;
     int second_requests{0};
     bool first_answers{true}; ///< false: it reads requests and says nothing
+    /// To health checks of the first target. After a crash another incarnation may give it.
+    std::string health_response{
+        "HTTP/1.1 200 OK\r\nInstance-Id: first\r\nContent-Length: 0\r\n\r\n"};
     /// Answers requests at the first target in place of the script; may be empty.
     std::function<void(raw_connection& peer)> first_handler;
     bool first_reads_body{true}; ///< false: it reads each connection to the end of a head
