--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,8 +4,8 @@
 Gateways, registrars and rank agents run as they do on the platform, each at a loopback address of its
 own, with stand-in runners behind loopback proxies. Faults come in overlapping series from outside:
 signals (kill, terminate, stop, hang-up), emptied and full disks, proxies that delay, reset, cut one way or
-silence, runners that crash, restart, refuse and lose answers. While it runs it checks, from what callers
-and runners see:
+silence, runners that crash, restart, refuse, lose answers, send late copies of answers and answer requests that they
+have run like a refusal. While it runs it checks, from what callers and runners see:
 
 - an answer is whole, and its bytes and signature are those of a runner that ran the request;
 - a refusal (408, 421, 429, 503) is true: the request has not run and never does;
@@ -448,6 +448,8 @@
             self.drain_runner,
             self.lose_answers,
             self.shed,
+            self.copy_answers,
+            self.refuse_falsely,
             self.cut_streams,
             self.lie_on_health,
             self.lose_orders,
@@ -578,6 +580,9 @@
     def target(self):
         return self.random.choice(self.fleet.targets)
 
+    def order_target(self):
+        return self.random.choice([one for one in self.fleet.targets if one.service == "orders"])
+
     async def delay_link(self):
         proxy = self.target().proxy
         proxy.delay = self.random.choice([0.02, 0.1, 0.5])
@@ -629,6 +634,18 @@
         await asyncio.sleep(self.random.uniform(0.5, 3.0))
         target.shed = 0.0
 
+    async def copy_answers(self):
+        target = self.order_target()
+        target.late_copies, target.shed = 0.3, 0.5
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        target.late_copies, target.shed = 0.0, 0.0
+
+    async def refuse_falsely(self):
+        target = self.order_target()
+        target.false_refusals = 0.3
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        target.false_refusals = 0.0
+
     async def cut_streams(self):
         target = self.target()
         target.cut_streams = 0.5
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -47,7 +47,9 @@
 
 def write_answer(writer, status, fields=(), body=b""):
     lines = [f"HTTP/1.1 {status} -", f"Content-Length: {len(body)}", *fields, "", ""]
-    writer.write("\r\n".join(lines).encode() + body)
+    message = "\r\n".join(lines).encode() + body
+    writer.write(message)
+    return message
 
 
 def reset(writer):
@@ -183,6 +185,8 @@
         self.up = False
         self.lose_answers = 0.0  # share of answers that are lost after the run
         self.shed = 0.0  # share of requests that are refused unrun
+        self.late_copies = 0.0  # share of answers that come again where the next answer is expected
+        self.false_refusals = 0.0  # share of requests that are run and answered like a refusal
         self.lying_health = False
         self.cut_streams = 0.0  # share of streams without framing that are broken off inside an event
         self.ends_orderly = False
@@ -225,10 +229,13 @@
     async def accept(self, reader, writer):
         task = asyncio.current_task()
         self.tasks.add(task)
+        writer.late_copy = b""
         try:
             while True:
                 line, fields, body = await read_message(reader)
                 method, path, _ = line.split(" ")
+                writer.write(writer.late_copy)
+                writer.late_copy = b""
                 if not await self.answer(method, path, fields, body, writer):
                     break
                 await writer.drain()
@@ -260,7 +267,8 @@
             write_answer(writer, 421, ["Not-Executed: 1", f"Instance-Id: {self.instance}"])
             return True
         if self.active >= SLOTS or self.random.random() < self.shed:
-            write_answer(writer, 503, ["Not-Executed: 1", self.load(), f"Attempt-Id: {attempt}"])
+            message = write_answer(writer, 503, ["Not-Executed: 1", self.load(), f"Attempt-Id: {attempt}"])
+            self.copy_late(writer, message)
             return True
         self.active += 1
         try:
@@ -268,6 +276,11 @@
         finally:
             self.active = max(0, self.active - 1)
 
+    def copy_late(self, writer, message):
+        if self.random.random() < self.late_copies:
+            writer.late_copy = message
+            self.ledger.count("late copies")
+
     def begin(self, attempt, path, fields):
         self.ledger.begin(attempt, self.instance)
         if path in self.fleet.crashing:
@@ -281,9 +294,13 @@
         if self.random.random() < self.lose_answers:
             return False
         fields = [f"Attempt-Id: {attempt}", f"Server-Signature: {signature_of(attempt, self.instance)}", self.load()]
+        if self.random.random() < self.false_refusals:
+            write_answer(writer, self.random.choice([408, 429, 503]), fields)
+            self.ledger.count("false refusals")
+            return True
         body = order_body(attempt)
         if self.random.random() >= UNFRAMED_SHARE:
-            write_answer(writer, 200, fields, body)
+            self.copy_late(writer, write_answer(writer, 200, fields, body))
             return True
         start_unframed(writer, fields)
         writer.write(body[:300])
