--- a/src/serviceconfig.h
+++ b/src/serviceconfig.h
@@ -42,7 +42,8 @@
     unsigned priority{0};                        ///< 0 is the most urgent
     unsigned max_attempts{1};                    ///< targets that one request may be sent to
     bool needs_key{true};
-    bool resumable{false}; ///< streams: another target may go on after the last event
+    bool resumable{false};            ///< streams: another target may go on after the last event
+    std::vector<std::string> regions; ///< whose targets may run its requests; empty: all
     std::vector<service_share> services;
 };
 
@@ -70,6 +71,8 @@
     std::string name;
     std::string health_path;
     unsigned max_connections{0};
+    std::chrono::milliseconds cold_time{0}; ///< a target stays cold for so long after its start
+    double cold_rate{0}; ///< requests a second that a cold target tolerates; 0: no limit
     std::optional<engine_traits> engine;
 };
 
@@ -86,6 +89,7 @@
     std::string name;
     std::vector<std::string> keys;
     std::optional<unsigned> priority; ///< goes before the route's
+    std::vector<std::string> regions; ///< whose targets may run its requests; empty: all
 };
 
 /// One version of the configuration.
--- a/src/vmsettings.h
+++ b/src/vmsettings.h
@@ -6,7 +6,8 @@
 #include "clock.h"
 #include "policysettings.h"
 
-#include <cstdint>
+#include <cstddef>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,10 @@
     std::chrono::milliseconds announcement{1'200}; ///< between two announcements of a target
     std::chrono::milliseconds directory_life{5'000}; ///< longest life of a directory answer
     std::chrono::milliseconds stall{1'500};          ///< a group waits this long for a dead rank
+    std::chrono::milliseconds ack_timeout{4'000};    ///< the operator repeats an order for so long
+    /// Requests to a cold target in one second, as a multiple of its declared rate, and beyond it.
+    double cold_overage{1.5};
+    double cold_allowance{5};
     double retry_ratio{0.2};
     double retry_allowance{50};
     std::chrono::milliseconds retry_window{10'000};
@@ -48,7 +53,10 @@
     std::string data_folder;        ///< empty without a disk
     std::string target_address;     ///< rank agents: the target on the same VM
     std::string target_service;
-    double link_megabits_per_second{0}; ///< of this VM; 0: unknown
+    double link_megabits_per_second{0};              ///< of this VM; 0: unknown
+    std::size_t memory_bytes{0};                     ///< of this process; 0: unknown
+    std::size_t file_descriptors{0};                 ///< of this process; 0: unknown
+    std::map<std::string, std::string> zone_regions; ///< region of each availability zone
     vm_bounds bounds;
     policy_settings policies;
 };
