--- a/src/serviceconfig.h
+++ b/src/serviceconfig.h
@@ -71,9 +71,9 @@
     std::string name;
     std::string health_path;
     unsigned max_connections{0};
+    std::optional<engine_traits> engine;
     std::chrono::milliseconds cold_time{0}; ///< a target stays cold for so long after its start
     double cold_rate{0}; ///< requests a second that a cold target tolerates; 0: no limit
-    std::optional<engine_traits> engine;
 };
 
 /// What callers may send and how long they may take.
