Registrars take orders to evacuate zones and tell gateways

Evacuations.Begin and Evacuations.Finish were answered 404. The leader commits an order in the replicated table "evacuations" and acknowledges it; late copies change nothing. Updates to gateways carry the revision and, when the gateway does not name it, the list. The registrar test ends with 404 without the change.

--- a/src/directorysync.cpp
+++ b/src/directorysync.cpp
@@ -45,7 +45,7 @@
                                             : subscriber.settings.beat_period);
         beats.push_back({address,
                          {subscriber.self, contact.run, contact.change, contact.daemons_revision,
-                          known, subscriber.known_suspects}});
+                          known, subscriber.known_suspects, subscriber.evacuations.revision}});
     }
     return beats;
 }
@@ -90,6 +90,11 @@
     contact.zone = update.zone;
     contact.most_gateways = update.most_gateways;
     contact.confirmed = update.confirmed;
+    contact.evacuations_revision = update.evacuations_revision;
+    // A registrar that is behind, or whose message was late, takes nothing back.
+    if (update.evacuations && update.evacuations->revision > subscriber.evacuations.revision) {
+        subscriber.evacuations = *update.evacuations;
+    }
     contact.heard_at = now;
     for (auto const& [address, zone] : update.registrars) {
         auto const [place, added] = subscriber.registrars.try_emplace(address);
@@ -99,6 +104,18 @@
     }
 }
 
+bool knows_evacuations(directory_subscriber const& subscriber, bool waited_enough) {
+    auto const known = subscriber.evacuations.revision;
+    auto const& contacts = subscriber.registrars;
+    bool const told = std::any_of(contacts.begin(), contacts.end(), [&](auto const& entry) {
+        return entry.second.confirmed && entry.second.evacuations_revision <= known;
+    });
+    bool const behind = std::any_of(contacts.begin(), contacts.end(), [&](auto const& entry) {
+        return entry.second.evacuations_revision > known;
+    });
+    return (told || waited_enough) && !behind;
+}
+
 void refresh_heard(target_directory& directory, sync_settings const& settings,
                    directory_update const& update, time_point now) {
     std::map<std::string_view, duration> unheard;
@@ -185,6 +202,26 @@
     return listed;
 }
 
+std::vector<std::string> choose_gateways(std::vector<daemon_entry> const& ready,
+                                         std::string const& region,
+                                         std::map<std::string, std::string> const& zone_regions,
+                                         std::size_t most) {
+    std::vector<std::string> near;
+    std::vector<std::string> all;
+    for (auto const& entry : ready) {
+        all.push_back(entry.client_address);
+        auto const place = zone_regions.find(entry.zone);
+        if (place != zone_regions.end() && place->second == region) {
+            near.push_back(entry.client_address);
+        }
+    }
+    auto& chosen = near.empty() ? all : near;
+    if (chosen.size() > most) {
+        chosen.erase(chosen.begin() + static_cast<std::ptrdiff_t>(most) - 1, chosen.end() - 1);
+    }
+    return chosen;
+}
+
 std::uint64_t sharing_gateways(gateway_count_history& census,
                                directory_subscriber const& subscriber, time_point now) {
     auto listed = listed_daemons(subscriber, daemon_role::gateway, now);
@@ -253,6 +290,7 @@
     known.known_change = this_run ? beat.known_change : 0;
     known.known_daemons = this_run ? beat.known_daemons : 0;
     known.known_suspects = beat.known_suspects;
+    known.known_evacuations = beat.known_evacuations;
     return list_daemon(publisher, beat.self, true);
 }
 
@@ -366,12 +404,18 @@
     if (is_gateway && context.suspects && context.suspects->revision > state.known_suspects) {
         update.suspects = *context.suspects;
     }
+    if (is_gateway && context.evacuations) {
+        update.evacuations_revision = context.evacuations->revision;
+        if (context.evacuations->revision != state.known_evacuations) {
+            update.evacuations = *context.evacuations;
+        }
+    }
     return update;
 }
 
 bool has_news(directory_update const& update) {
     return !update.targets.empty() || !update.daemons.empty() || !update.gone_daemons.empty() ||
-           update.suspects;
+           update.suspects || update.evacuations;
 }
 
 void forget_daemons(directory_subscriber& subscriber) {
--- a/src/directorysync.h
+++ b/src/directorysync.h
@@ -8,6 +8,7 @@
 
 #include "attachment.h"
 #include "clock.h"
+#include "evacuationtable.h"
 #include "quarantine.h"
 #include "retrylimits.h"
 #include "targetdirectory.h"
@@ -44,6 +45,7 @@
     std::uint64_t known_daemons{0};
     std::vector<std::string> registrars;
     std::uint64_t known_suspects{0}; ///< gateways: revision of the newest list, from any registrar
+    std::uint64_t known_evacuations{0}; ///< gateways: revision of the list that it obeys
 };
 
 /// A registrar as others are told of it.
@@ -79,8 +81,11 @@
     std::uint64_t config_version{0};
     bool confirmed{false}; ///< the registrar knows that its configuration is the newest
     std::string zone;      ///< of the registrar
-    std::optional<suspect_list> suspects; ///< gateways: when newer than what they know
-    std::uint64_t most_gateways{0};       ///< known to the registrar at the same time of late
+    std::optional<suspect_list> suspects;  ///< gateways: when newer than what they know
+    std::uint64_t most_gateways{0};        ///< known to the registrar at the same time of late
+    std::uint64_t evacuations_revision{0}; ///< gateways: of the registrar's list
+    /// Gateways: the registrar's list, when the beat named another revision.
+    std::optional<evacuation_list> evacuations;
 };
 
 /// Times of the exchange.
@@ -115,6 +120,7 @@
     std::uint64_t config_version{0};
     time_point config_at{}; ///< `config_version` rose
     bool confirmed{false};
+    std::uint64_t evacuations_revision{0}; ///< of the newest update
     std::string zone;
     time_point heard_at{};
     time_point learned_at{};
@@ -133,6 +139,7 @@
     sync_settings settings;
     std::map<std::string, registrar_contact> registrars; ///< by address
     std::uint64_t known_suspects{0}; ///< revision of the newest list of suspects taken
+    evacuation_list evacuations;     ///< gateways: the newest list taken
 };
 
 /// A message with its destination.
@@ -166,6 +173,11 @@
 void take_update(directory_subscriber& subscriber, std::string const& from,
                  directory_update const& update, time_point now);
 
+/// Whether a gateway certainly obeys the newest evacuations, as far as it can tell: a registrar
+/// that knows its view to be the newest has told it, and none has told of a newer revision.
+/// @param waited_enough a registrar's word on its view is awaited no longer
+bool knows_evacuations(directory_subscriber const& subscriber, bool waited_enough);
+
 /// The processes of a role that some believed registrar lists.
 /// @param subscriber the subscriber
 /// @param role the role
@@ -174,6 +186,16 @@
 std::map<std::string, daemon_entry> listed_daemons(directory_subscriber const& subscriber,
                                                    daemon_role role, time_point now);
 
+/// Addresses for a caller that asks where to connect: of gateways in its own region where any is
+/// ready there, otherwise of all. The last of `ready` is always among them if it fits the region.
+/// @param ready entries of the ready gateways
+/// @param region the caller's; may be empty
+/// @param most how many addresses at most
+std::vector<std::string> choose_gateways(std::vector<daemon_entry> const& ready,
+                                         std::string const& region,
+                                         std::map<std::string, std::string> const& zone_regions,
+                                         std::size_t most);
+
 /// Where a rank agent found its group's coordinator last.
 struct coordinator_contact {
     std::string group;
@@ -235,6 +257,7 @@
         std::uint64_t known_change{0};
         std::uint64_t known_daemons{0};
         std::uint64_t known_suspects{0};
+        std::uint64_t known_evacuations{0};
     };
     std::map<std::string, subscriber_state> subscribers; ///< by address
     /// A process that this registrar or another one hears.
@@ -260,7 +283,8 @@
     std::uint64_t config_version{0};
     bool confirmed{false};
     time_point now{};
-    suspect_list const* suspects{nullptr}; ///< may be null
+    suspect_list const* suspects{nullptr};       ///< may be null
+    evacuation_list const* evacuations{nullptr}; ///< may be null
 };
 
 /// Takes a beat.
--- a/src/directorywire.cpp
+++ b/src/directorywire.cpp
@@ -103,6 +103,7 @@
         wired.add_registrars(address);
     }
     wired.set_known_suspects(plain.known_suspects);
+    wired.set_known_evacuations(plain.known_evacuations);
     return wired.SerializeAsString();
 }
 
@@ -115,6 +116,7 @@
     plain.known_daemons = wired.known_daemons();
     plain.registrars.assign(wired.registrars().begin(), wired.registrars().end());
     plain.known_suspects = wired.known_suspects();
+    plain.known_evacuations = wired.known_evacuations();
     return plain;
 }
 
@@ -147,6 +149,13 @@
     wired.set_confirmed(plain.confirmed);
     wired.set_zone(plain.zone);
     wired.set_most_gateways(plain.most_gateways);
+    wired.set_evacuations_revision(plain.evacuations_revision);
+    if (plain.evacuations) {
+        wired.set_has_evacuations(true);
+        for (auto const& zone : plain.evacuations->zones) {
+            wired.add_evacuated_zones(zone);
+        }
+    }
     if (plain.suspects) {
         wired.set_has_suspects(true);
         wired.set_suspects_revision(plain.suspects->revision);
@@ -190,6 +199,12 @@
     plain.confirmed = wired.confirmed();
     plain.zone = wired.zone();
     plain.most_gateways = wired.most_gateways();
+    plain.evacuations_revision = wired.evacuations_revision();
+    if (wired.has_evacuations()) {
+        plain.evacuations =
+            evacuation_list{wired.evacuations_revision(),
+                            {wired.evacuated_zones().begin(), wired.evacuated_zones().end()}};
+    }
     if (wired.has_suspects()) {
         auto& suspects = plain.suspects.emplace();
         suspects.revision = wired.suspects_revision();
--- a/src/events.h
+++ b/src/events.h
@@ -47,6 +47,7 @@
 inline constexpr log_event_kind crash_reported{303, "crash_reported", log_level::warn};
 inline constexpr log_event_kind crash_recorded{305, "crash_recorded", log_level::warn};
 inline constexpr log_event_kind quarantine_updated{304, "quarantine_updated", log_level::warn};
+inline constexpr log_event_kind evacuation_ordered{306, "evacuation_ordered", log_level::info};
 
 // 4xx: control.
 inline constexpr log_event_kind leader_changed{401, "leader_changed", log_level::info};
@@ -113,6 +114,7 @@
 inline constexpr log_event_kind target_leaving{736, "target_leaving", log_level::info};
 inline constexpr log_event_kind target_paused{737, "target_paused", log_level::info};
 inline constexpr log_event_kind response_end_judged{738, "response_end_judged", log_level::info};
+inline constexpr log_event_kind evacuations_in_force{743, "evacuations_in_force", log_level::warn};
 inline constexpr log_event_kind part_suspected{739, "part_suspected", log_level::warn};
 inline constexpr log_event_kind group_reformed{731, "group_reformed", log_level::info};
 inline constexpr log_event_kind map_change_planned{732, "map_change_planned", log_level::info};
--- a/src/registrar.cpp
+++ b/src/registrar.cpp
@@ -8,6 +8,7 @@
 #include "directorysync.h"
 #include "directorywire.h"
 #include "engineclient.h"
+#include "evacuationtable.h"
 #include "packedtext.h"
 #include "peeraddress.h"
 #include "peerlink.h"
@@ -74,6 +75,7 @@
     bool fetch{false};
     std::uint64_t version{0};
     time_point since{};
+    std::optional<evacuation_order> evacuation;
 };
 
 struct registrar_daemon {
@@ -98,6 +100,8 @@
     std::map<std::uint64_t, std::shared_ptr<response_writer>> departing; ///< by departure number
 
     service_table services;
+    evacuation_table evacuations;
+    evacuation_memory evacuation_orders;
     quarantine_table quarantine;
     suspect_list suspects; ///< what gateways are told of `quarantine`
     time_point suspects_made_at{};
@@ -107,6 +111,7 @@
     std::string last_leader;
     member_list last_members;
     std::uint64_t last_version{0};
+    std::uint64_t last_evacuations{0};                           ///< revision
     std::map<std::uint64_t, operator_call> operator_calls;       ///< by request number
     std::map<std::uint64_t, crash_report_message> crash_reports; ///< by request number
     std::uint64_t last_request{0};
@@ -134,12 +139,16 @@
 
 void open_replica(registrar_daemon& daemon) {
     daemon.services = {};
+    daemon.evacuations = {};
+    daemon.evacuation_orders = {};
+    daemon.evacuation_orders.repeat_time = daemon.settings.bounds.ack_timeout;
     daemon.quarantine = {};
     daemon.crash_reports.clear();
     daemon.quarantine.limits.entries = most_suspects_kept;
     daemon.quarantine.limits.quarantine_time = quarantine_time;
     daemon.tables = {};
     register_services(daemon.tables, daemon.services);
+    register_evacuations(daemon.tables, daemon.evacuations);
     register_quarantine(daemon.tables, daemon.quarantine);
     control_node_settings settings;
     settings.name = daemon.address;
@@ -172,7 +181,7 @@
     return daemon.node && daemon.node->consensus.role == replica_role::leader;
 }
 
-// Whether this replica's configuration is certainly the newest, as far as that can be told without
+// Whether this replica's tables are certainly the newest, as far as that can be told without
 // a round of messages.
 bool is_confirmed(registrar_daemon const& daemon) {
     if (!daemon.node) {
@@ -180,11 +189,13 @@
     }
     auto const& core = daemon.node->consensus;
     auto const at = daemon_now(daemon);
+    if (daemon.tables.applied_index < core.commit_index) {
+        return false;
+    }
     if (core.role == replica_role::leader) {
         return lease_holds(core, at);
     }
-    return !core.leader.empty() && at - core.last_leader_contact < leader_contact_life &&
-           daemon.tables.applied_index >= core.commit_index;
+    return !core.leader.empty() && at - core.last_leader_contact < leader_contact_life;
 }
 
 void refresh_suspects(registrar_daemon& daemon) {
@@ -202,8 +213,9 @@
 
 publisher_context context_of(registrar_daemon& daemon) {
     refresh_suspects(daemon);
-    return {&daemon.directory, daemon.services.current.version, is_confirmed(daemon),
-            daemon_now(daemon), &daemon.suspects};
+    return {&daemon.directory,    daemon.services.current.version,
+            is_confirmed(daemon), daemon_now(daemon),
+            &daemon.suspects,     &daemon.evacuations.current};
 }
 
 // Tells every subscriber what it does not know. Changes of one moment share a push, and pushes
@@ -232,7 +244,27 @@
     daemon.push_at = end + std::max<duration>(least_push_pause, push_pauses * (end - begun));
 }
 
+void answer_evacuation(registrar_daemon& daemon, operator_call const& call,
+                       control_node_reply const& reply) {
+    auto const list = parse_evacuation_list(reply.outcome.value());
+    if (!list) {
+        call.writer->send(unavailable, {}, {});
+        return;
+    }
+    log_bounded(daemon.loop, events::evacuation_ordered,
+                {{"zone", call.evacuation->zone},
+                 {"evacuate", call.evacuation->evacuate},
+                 {"copy", call.evacuation->copy},
+                 {"revision", list.value().revision},
+                 {"zones", joined_zones(list.value())},
+                 {"index", reply.index},
+                 {"term", reply.term},
+                 {"took_ms", in_millis(daemon_now(daemon) - call.since)}});
+    send_json(*call.writer, ok_status, empty_object);
+}
+
 void answer_operator(registrar_daemon& daemon, control_node_reply const& reply) {
+    daemon.evacuation_orders.pending.erase(reply.request);
     auto const found = daemon.operator_calls.find(reply.request);
     if (found == daemon.operator_calls.end()) {
         return;
@@ -242,11 +274,16 @@
     if (!reply.outcome) {
         log_bounded(daemon.loop, events::change_refused,
                     {{"version", call.version},
+                     {"zone", call.evacuation ? call.evacuation->zone : std::string{}},
                      {"reason", describe(reply.outcome.error())},
                      {"fetch", call.fetch}});
         call.writer->send(unavailable, {}, {});
         return;
     }
+    if (call.evacuation) {
+        answer_evacuation(daemon, call, reply);
+        return;
+    }
     if (!call.fetch) {
         auto const outcome = parse_install_reply(reply.outcome.value());
         log_bounded(daemon.loop, events::change_committed,
@@ -333,7 +370,19 @@
     push_updates(daemon);
 }
 
+// Gateways are told at once, as of a new configuration.
+void note_evacuations(registrar_daemon& daemon) {
+    for (auto const& change : std::exchange(daemon.evacuations.changes, {})) {
+        note_change(daemon.evacuation_orders, change, wall_now(daemon.loop.clock));
+    }
+    auto const revision = daemon.evacuations.current.revision;
+    if (revision != std::exchange(daemon.last_evacuations, revision)) {
+        push_updates(daemon);
+    }
+}
+
 void note_changes(registrar_daemon& daemon) {
+    note_evacuations(daemon);
     auto const& leader = leader_of(*daemon.node);
     if (leader != daemon.last_leader) {
         daemon.last_leader = leader;
@@ -404,6 +453,7 @@
 
 void tick_replica(registrar_daemon& daemon) {
     auto const at = daemon_now(daemon);
+    note_time(daemon.evacuation_orders, at);
     if (!daemon.node) {
         if (at >= daemon.reopen_at) {
             open_replica(daemon);
@@ -487,7 +537,7 @@
         writer->send(unavailable, {}, {});
         return;
     }
-    daemon.operator_calls[number] = {writer, false, version, daemon_now(daemon)};
+    daemon.operator_calls[number] = {writer, false, version, daemon_now(daemon), {}};
     post_flush(daemon);
 }
 
@@ -503,7 +553,56 @@
         writer->send(unavailable, {}, {});
         return;
     }
-    daemon.operator_calls[number] = {writer, true, 0, daemon_now(daemon)};
+    daemon.operator_calls[number] = {writer, true, 0, daemon_now(daemon), {}};
+    post_flush(daemon);
+}
+
+// Why an evacuation order cannot be taken now; null if it can. The operator repeats it.
+char const* evacuation_obstacle(registrar_daemon const& daemon, evacuation_order const& order) {
+    if (refuses_new(daemon)) {
+        return "this registrar is stopping";
+    }
+    // Before, the log may hold orders of an earlier leader that this one has not applied.
+    if (daemon.tables.applied_index < daemon.node->consensus.term_start_index) {
+        return "the log of earlier leaders is not applied yet";
+    }
+    return awaits_opposite(daemon.evacuation_orders, order) ? "an opposite order is not settled"
+                                                            : nullptr;
+}
+
+void order_evacuation(registrar_daemon& daemon, incoming_request const& request,
+                      evacuation_order order, std::shared_ptr<response_writer> const& writer) {
+    if (!daemon.settings.zone_regions.contains(order.zone)) {
+        log_bounded(daemon.loop, events::change_refused,
+                    {{"zone", order.zone}, {"reason", "the settings name no such zone"}});
+        send_json(*writer, bad_request, "{\"error\":\"unknown zone\"}");
+        return;
+    }
+    if (!leads(daemon)) {
+        redirect_to_leader(daemon, request, *writer);
+        return;
+    }
+    auto const refuse = [&](std::string const& reason) {
+        log_bounded(daemon.loop, events::change_refused,
+                    {{"zone", order.zone}, {"evacuate", order.evacuate}, {"reason", reason}});
+        writer->send(unavailable, {}, {});
+    };
+    if (auto const* const obstacle = evacuation_obstacle(daemon, order)) {
+        refuse(obstacle);
+        return;
+    }
+    note_time(daemon.evacuation_orders, daemon_now(daemon));
+    order.copy = is_late_copy(daemon.evacuation_orders, daemon.evacuations.current, order);
+    auto const number = ++daemon.last_request;
+    auto const submitted =
+        submit(*daemon.node, number,
+               {evacuation_table_kind, serialize(order), wall_now(daemon.loop.clock)});
+    if (!submitted) {
+        refuse(describe(submitted.error()));
+        return;
+    }
+    daemon.evacuation_orders.pending[number] = order;
+    daemon.operator_calls[number] = {writer, false, 0, daemon_now(daemon), order};
     post_flush(daemon);
 }
 
@@ -520,6 +619,7 @@
         daemon.operator_calls.erase(number);
         log_bounded(daemon.loop, events::change_refused,
                     {{"version", call.version},
+                     {"zone", call.evacuation ? call.evacuation->zone : std::string{}},
                      {"reason", "no majority in time; the outcome is open"},
                      {"fetch", call.fetch}});
         call.writer->send(unavailable, {}, {});
@@ -638,6 +738,12 @@
     case platform::registrar_request_kind::fetch_configuration:
         fetch_configuration(daemon, request, writer);
         return;
+    case platform::registrar_request_kind::begin_evacuation:
+        order_evacuation(daemon, request, {call.zone, true, false}, writer);
+        return;
+    case platform::registrar_request_kind::finish_evacuation:
+        order_evacuation(daemon, request, {call.zone, false, false}, writer);
+        return;
     case platform::registrar_request_kind::unknown:
         writer->send(not_found, {}, {});
     }
@@ -886,6 +992,8 @@
                   static_cast<double>(daemon.directory.targets.size()));
         set_gauge(*daemon.metrics, "fireflycrank_configuration_version", "",
                   static_cast<double>(daemon.services.current.version));
+        set_gauge(*daemon.metrics, "fireflycrank_evacuated_zones", "",
+                  static_cast<double>(daemon.evacuations.current.zones.size()));
         set_gauge(*daemon.metrics, "fireflycrank_leads", "", leads(daemon) ? 1 : 0);
         return true;
     });
--- /dev/null
+++ b/tests/evacuation_orders_test.py
@@ -0,0 +1,103 @@
+"""Tests the operator's orders of evacuation at a registrar process with its own disk.
+
+Guards against orders that are acknowledged and not there after the process was killed, against refused repeats, and
+against a zone that nobody knows being accepted.
+"""
+import http.client
+import os
+import pathlib
+import subprocess
+import tempfile
+import time
+import unittest
+
+PROGRAM = pathlib.Path(os.environ.get("FIREFLYCRANK_BIN", "build")) / "fireflycrank-platform"
+IP = f"127.78.{os.getpid() % 250}.1"
+
+
+def settings(data):
+    return f"""
+node_name: "p"
+role: "registrar"
+ip: "{IP}"
+zone: "a"
+region: "r"
+zones: {{a: r, b: r}}
+internal_ports: [17340, 17355]
+seed_nodes: ["{IP}:18229"]
+bootstrap: true
+heartbeat_ms: 600
+fault_tolerance: {{machines: 0, zones: 0, regions: 0}}
+bounds: {{drain_ms: 2000, grace_s: 0.1, config_apply_ms: 2000, stall_ms: 1500, ttl_max_s: 5,
+  retry_budget_ratio: 0.2, retry_allowance: 92, budget_window_s: 10, ack_timeout_ms: 1500}}
+data_dir: '{data}'
+listen: {{control_plane: '{IP}:18229'}}
+"""
+
+
+def post(path):
+    """Sends an order once. Returns the status, 0 without an answer."""
+    caller = http.client.HTTPConnection(IP, 18229, timeout=5.0)
+    try:
+        caller.request("POST", path)
+        return caller.getresponse().status
+    except OSError:
+        return 0
+    finally:
+        caller.close()
+
+
+def order(path):
+    """Sends an order until it is acknowledged. Returns the statuses."""
+    statuses = []
+    until = time.monotonic() + 20.0
+    while time.monotonic() < until and 200 not in statuses:
+        statuses.append(post(path))
+        if statuses[-1] != 200:
+            time.sleep(0.05)
+    return statuses
+
+
+class EvacuationOrders(unittest.TestCase):
+    def start(self, folder):
+        path = pathlib.Path(folder) / "settings.yaml"
+        path.write_text(settings(pathlib.Path(folder) / "data"))
+        with open(pathlib.Path(folder) / "log", "a") as log:
+            child = subprocess.Popen([PROGRAM, "registrar", "--settings", path], stdout=log, stderr=log)
+        self.addCleanup(child.wait)
+        self.addCleanup(child.kill)
+        return child
+
+    def zones(self, folder):
+        """The zones after the last order, as event 306 tells them."""
+        lines = [one for one in (pathlib.Path(folder) / "log").read_text().splitlines() if "evacuation_ordered" in one]
+        return lines[-1]
+
+    def check_accepted(self, path):
+        statuses = order(path)
+        self.assertEqual(statuses[-1], 200)
+        self.assertTrue(set(statuses) <= {0, 200, 503}, statuses)
+
+    def test_orders_are_acknowledged_and_kept(self):
+        with tempfile.TemporaryDirectory() as folder:
+            (pathlib.Path(folder) / "data").mkdir()
+            child = self.start(folder)
+            self.check_accepted("/-/Evacuations.Begin/a")
+            self.check_accepted("/-/Evacuations.Begin/a")
+            self.check_accepted("/-/Evacuations.Begin/b")
+            self.check_accepted("/-/Evacuations.Finish/b")
+            self.check_accepted("/-/Evacuations.Begin/b")  # taken for a copy: acknowledged, without effect
+            self.assertIn('"zones":"a"', self.zones(folder))
+            self.assertEqual(post("/-/Evacuations.Begin/nowhere"), 400)
+            child.kill()
+            child.wait()
+            self.start(folder)
+            self.check_accepted("/-/Evacuations.Finish/b")
+            self.assertIn('"zones":"a"', self.zones(folder))
+            time.sleep(2.0)  # longer than an order is repeated
+            self.check_accepted("/-/Evacuations.Begin/b")
+            self.assertIn('"zones":"a,b"', self.zones(folder))
+
+
+if __name__ == "__main__":
+    unittest.main()
