Gateways obey evacuated zones and allowed regions

targetaccess tells whether a request may run at a target, and choose_target asks it on every way. A gateway is ready once a registrar that is sure has told it the evacuations. What no target may run is refused at once. Ranks in an evacuated zone count for the length of passes, not as places. The directory names gateways of the caller's own region where any is ready.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -19,8 +19,9 @@
 // If a registrar does not send the configuration that it announced within this time, another one is
 // asked.
 constexpr std::chrono::milliseconds config_reply_timeout{250};
-// If no registrar confirms its configuration within this time, a started gateway serves with the
-// newest configuration it has received, because the registrars may lack a majority for much longer.
+// If no registrar confirms its view within this time, a started gateway serves with the newest
+// configuration and evacuations it has received, because the registrars may lack a majority for
+// much longer.
 constexpr std::chrono::milliseconds max_confirmation_wait{4'000};
 // Time to live of a directory answer. Short, so that callers soon leave a VM that stopped; some
 // callers keep answers three times as long.
@@ -102,14 +103,16 @@
         return;
     }
     auto const now = loop_now(owner.loop);
-    bool confirmed = now - owner.started_at > max_confirmation_wait;
+    bool const waited_enough = now - owner.started_at > max_confirmation_wait;
+    bool confirmed = waited_enough;
     std::uint64_t newest = 0;
     for (auto const& [address, contact] : owner.subscriber.registrars) {
         newest = std::max(newest, contact.config_version);
         confirmed =
             confirmed || (contact.confirmed && contact.config_version <= owner.config->version);
     }
-    owner.config_confirmed = confirmed && newest <= owner.config->version;
+    owner.config_confirmed = confirmed && newest <= owner.config->version &&
+                             knows_evacuations(owner.subscriber, waited_enough);
     if (owner.config_confirmed) {
         resume_calls(owner);
     }
@@ -189,8 +192,16 @@
     }
 }
 
+void note_evacuations(gateway& owner, std::string const& from) {
+    auto const& list = owner.subscriber.evacuations;
+    log_bounded(owner.loop, events::evacuations_in_force,
+                {{"revision", list.revision}, {"zones", joined_zones(list)}, {"from", from}});
+    recheck_access(owner);
+}
+
 void on_update(gateway& owner, std::string const& from, directory_update const& update) {
     auto const now = loop_now(owner.loop);
+    auto const evacuations_before = owner.subscriber.evacuations.revision;
     take_update(owner.subscriber, from, update, now);
     for (auto const& said : update.targets) {
         apply_announcement(owner.directory, said, announcement_source::peer, now);
@@ -201,6 +212,9 @@
     if (update.suspects) {
         handle_suspect_list(owner, from, *update.suspects);
     }
+    if (owner.subscriber.evacuations.revision != evacuations_before) {
+        note_evacuations(owner, from);
+    }
     request_config(owner);
     confirm_config(owner);
     update_readiness(owner);
@@ -254,28 +268,27 @@
                 {{"type", message.type}, {"sender", message.sender}});
 }
 
-std::vector<std::string> caller_addresses(gateway const& owner) {
-    std::vector<std::string> addresses;
-    auto const listed =
-        listed_daemons(owner.subscriber, daemon_role::gateway, loop_now(owner.loop));
-    for (auto const& [address, entry] : listed) {
-        bool const self = address == owner.subscriber.self.address;
-        if (entry.ready && !self && addresses.size() + 1 < max_directory_addresses) {
-            addresses.push_back(entry.client_address);
+std::vector<std::string> caller_addresses(gateway const& owner, std::string const& region) {
+    std::vector<daemon_entry> ready;
+    for (auto const& [address, entry] :
+         listed_daemons(owner.subscriber, daemon_role::gateway, loop_now(owner.loop))) {
+        if (entry.ready && address != owner.subscriber.self.address) {
+            ready.push_back(entry);
         }
     }
     if (is_ready(owner)) {
-        addresses.push_back(owner.settings.listen.callers);
+        ready.push_back(owner.subscriber.self);
     }
-    return addresses;
+    return choose_gateways(ready, region, owner.settings.zone_regions, max_directory_addresses);
 }
 
 void serve_directory(gateway& owner, incoming_request const& request, response_writer& writer) {
-    if (!platform::decode_resolve_request(request.head)) {
+    auto const wanted = platform::decode_resolve_request(request.head);
+    if (!wanted) {
         writer.send(not_found, {}, {});
         return;
     }
-    auto const addresses = caller_addresses(owner);
+    auto const addresses = caller_addresses(owner, wanted->region);
     if (addresses.empty()) {
         writer.send(unavailable, {}, {});
         return;
@@ -458,6 +471,8 @@
                   static_cast<double>(pool.reused));
         set_gauge(*owner.metrics, "fireflycrank_calls_open", "",
                   static_cast<double>(owner.calls.size()));
+        set_gauge(*owner.metrics, "fireflycrank_evacuated_zones", "",
+                  static_cast<double>(owner.subscriber.evacuations.zones.size()));
         publish_groups(owner);
         return true;
     });
@@ -510,6 +525,21 @@
     }
 }
 
+void refresh_outages(gateway& owner) {
+    auto const now = loop_now(owner.loop);
+    access_rules access;
+    access.evacuated_zones = &owner.subscriber.evacuations.zones;
+    target_filter filter;
+    filter.access = &access;
+    for (auto& [service, outage] : owner.outages) {
+        if (outage.since) {
+            auto const choice = choose_target(owner.targets, service, owner.settings.zone, filter,
+                                              owner.target_selection, owner.random, now);
+            update_outage(outage, choice.healthy, now);
+        }
+    }
+}
+
 result<void> run_gateway(settings_source const& read_settings, std::string const& settings_path) {
     BOOST_OUTCOME_TRY(settings, read_settings());
     gateway_daemon daemon{std::move(settings), read_settings};
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -69,7 +69,8 @@
     std::shared_ptr<service_config const> config;
     std::uint64_t requested_config_version{0}; ///< requested last from a registrar
     time_point config_requested_at{};
-    /// A registrar confirmed that `config` is the newest one, or none did in time.
+    /// A registrar confirmed that `config` is the newest one, and that the evacuations which
+    /// `subscriber` holds are, or none did in time.
     bool config_confirmed{false};
     time_point started_at{};
 
@@ -105,6 +106,9 @@
 /// Refuses queued streams of a service that could not begin in time.
 void refuse_hopeless_calls(gateway& owner, std::string const& service);
 
+/// Refuses queued calls that no target may run any more. To be called when the evacuations change.
+void recheck_access(gateway& owner);
+
 /// Ends the outages of services that have a usable target again. Needed because nothing else
 /// notices when no requests arrive for such a service.
 void refresh_outages(gateway& owner);
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -77,6 +77,7 @@
         , request_{std::move(request)}
         , writer_{std::move(writer)}
         , headers_{platform::decode_caller_request(request_.head)}
+        , access_{&owner.subscriber.evacuations.zones, &owner.settings.zone_regions, {}, {}}
         , read_at_{loop_now(owner.loop)} {}
 
     void begin() {
@@ -181,10 +182,10 @@
     // Sends the queued request if there is a free slot, or refuses it.
     // @return false if it waits on
     bool try_admit() {
-        if (refuse_if_quarantined()) {
+        auto const choice = choose();
+        if (refuse_if_quarantined() || refuse_if_barred(choice)) {
             return true;
         }
-        auto const choice = choose();
         check_room(choice);
         if (wait_cause_ != wait_cause::none) {
             return false;
@@ -194,6 +195,9 @@
         return true;
     }
 
+    // Refuses a queued call if no target may run it any more.
+    void recheck_access() { refuse_if_barred(choose()); }
+
     // Refuses a queued call that could not begin in time.
     void refuse_hopeless() {
         leave_queue();
@@ -235,6 +239,7 @@
                 return;
             }
             team_ = team->name;
+            access_.team_regions = team->regions;
             priority_ = team->priority;
         }
         apply_route(*route);
@@ -250,6 +255,7 @@
         priority_ = std::min(priority_.value_or(route.priority), lowest_priority);
         route_priority_ = std::min(route.priority, lowest_priority);
         route_timeout_ = route.timeout;
+        access_.route_regions = route.regions;
         latency_objective_ = route.target_latency;
         service_ = pick_service(route, next_unit(owner_.random));
         count_request(owner_.retry_windows[service_], owner_.shared_retry_limits,
@@ -426,6 +432,7 @@
     // @param more_excluded targets that must not be chosen besides those already excluded
     [[nodiscard]] target_choice choose(std::vector<std::string> const& more_excluded = {}) const {
         target_filter filter;
+        filter.access = &access_;
         filter.excluded = excluded_;
         filter.excluded.insert(filter.excluded.end(), more_excluded.begin(), more_excluded.end());
         if (tried_targets_.size() >= progress_.max_attempts) {
@@ -442,6 +449,17 @@
                              owner_.target_selection, owner_.random, loop_now(owner_.loop));
     }
 
+    // Waiting is useless for a request that the access rules leave without any target.
+    bool refuse_if_barred(target_choice const& choice) {
+        denied_ = choice.denied;
+        if (!is_barred(choice)) {
+            return false;
+        }
+        leave_queue();
+        give_up(name_of(main_denial(denied_)));
+        return true;
+    }
+
     [[nodiscard]] wait_cause cause_to_wait(target_choice const& choice) const {
         slot_request need;
         need.stream = progress_.kind == call_kind::stream;
@@ -508,10 +526,10 @@
     // Sends the request at once if there is a free slot, and, for a stream, if no other call of the
     // service is queued; queues it otherwise.
     void send_or_queue() {
-        if (refuse_if_quarantined() || end_if_too_late()) {
+        auto const choice = choose();
+        if (refuse_if_quarantined() || end_if_too_late() || refuse_if_barred(choice)) {
             return;
         }
-        auto const choice = choose();
         auto& outage = owner_.outages[service_];
         update_outage(outage, choice.healthy, loop_now(owner_.loop));
         bool const stream = progress_.kind == call_kind::stream;
@@ -617,6 +635,7 @@
                                       {"group_limit", group_state().limit},
                                       {"waited_ms", in_millis(sent_at_ - request_.first_byte_at)},
                                       {"left_ms", time_left().count()}};
+        add_left_out(fields, choice.denied);
         add_stop_fields(fields);
         log_bounded(owner_.loop, events::call_attempt, fields);
     }
@@ -1372,6 +1391,7 @@
             fields.emplace_back("paused_after_ms",
                                 in_millis(longest_pause_at_ - request_.first_byte_at));
         }
+        add_left_out(fields, denied_);
         add_stop_fields(fields);
         log_bounded(owner_.loop, kind, fields);
     }
@@ -1398,6 +1418,8 @@
     incoming_request request_;
     std::shared_ptr<response_writer> writer_;
     call_headers headers_;
+    access_rules access_;
+    denied_targets denied_;                 ///< by the last choice that could end the call
     time_point read_at_{};                  ///< when the last byte of the request was read
     std::optional<duration> judged_length_; ///< last expected length of a run that begins in a stop
     call_progress progress_;
@@ -1472,17 +1494,6 @@
     }
 }
 
-void refresh_outages(gateway& owner) {
-    auto const now = loop_now(owner.loop);
-    for (auto& [service, outage] : owner.outages) {
-        if (outage.since) {
-            auto const choice = choose_target(owner.targets, service, owner.settings.zone, {},
-                                              owner.target_selection, owner.random, now);
-            update_outage(outage, choice.healthy, now);
-        }
-    }
-}
-
 namespace {
 
 // Whether new streams of a service can only begin when running ones end.
@@ -1544,6 +1555,8 @@
         auto& [streams, reporting, service] = samples[view.group->name];
         service = view.announcement.service;
         ++streams.ranks;
+        streams.closed_ranks +=
+            owner.subscriber.evacuations.zones.contains(view.announcement.zone) ? 1 : 0;
         streams.own += view.own_in_flight;
         if (view.load && now - view.load->sampled_at < owner.target_selection.report_ttl) {
             ++reporting;
@@ -1576,6 +1589,13 @@
     }
 }
 
+void recheck_access(gateway& owner) {
+    auto const waiting = owner.queued_calls;
+    for (auto const& [id, call] : waiting) {
+        call->recheck_access();
+    }
+}
+
 void retry_checked_calls(std::vector<std::shared_ptr<gateway_call>> const& calls) {
     for (auto const& call : calls) {
         call->retry_checked();
--- a/src/streamadmission.cpp
+++ b/src/streamadmission.cpp
@@ -48,8 +48,14 @@
     group.usual_own += newest_weight * (streams.own - group.usual_own);
     group.updated_at = now;
     group.streams = streams;
-    group.limit =
-        streams.ranks * sustainable_streams(group.passes, requirements, streams.slowdown, now);
+    // A pass takes as long as all ranks need for the streams of the whole group.
+    group.limit = std::min(
+        streams.ranks * sustainable_streams(group.passes, requirements, streams.slowdown, now),
+        (streams.ranks - streams.closed_ranks) * requirements.slots);
+    if (group.limit <= 0) {
+        group.own_limit = 0;
+        return;
+    }
     double const equal_part = group.limit / std::max(1U, gateways);
     // What this gateway has started since the reports, others are likely to have started as well.
     double const started_since = gateways * (streams.own - group.usual_own);
@@ -64,6 +70,9 @@
 }
 
 bool is_busy(group_admission const& group) {
+    if (group.streams.ranks > 0 && group.streams.closed_ranks == group.streams.ranks) {
+        return true;
+    }
     constexpr double nearly_full = 0.75; // fewer streams leave slots for those that wait
     return group.streams.running > nearly_full * group.limit;
 }
--- a/src/targetchoice.cpp
+++ b/src/targetchoice.cpp
@@ -98,12 +98,23 @@
         std::any_of(targets.begin(), targets.end(), [&](auto const& entry) {
             return entry.second.announcement.service == service && entry.second.group;
         });
+    target_choice choice;
     for (auto const& [id, view] : targets) {
-        bool const accepts = view.announcement.state == target_phase::ready && !view.leaving &&
-                             now >= view.pauses_until;
+        bool const accepts = view.announcement.state == target_phase::ready && !view.leaving;
         if (view.announcement.service != service || !accepts || !allows(filter, id)) {
             continue;
         }
+        auto const denial = filter.access == nullptr
+                                ? access_denial::none
+                                : judge_access(*filter.access, view.announcement.zone);
+        if (denial != access_denial::none) {
+            count_denial(choice.denied, denial);
+            continue;
+        }
+        if (now < view.pauses_until) {
+            ++choice.paused;
+            continue;
+        }
         bool const group_full = view.group && contains(filter.full_groups, view.group->name);
         scored_target candidate{&view,
                                 health(view, service_has_groups, settings, now),
@@ -121,7 +132,6 @@
         candidate.cost = ((candidate.load + 1.0) * slowdown + zone_penalty) / slots;
         scored.push_back(candidate);
     }
-    target_choice choice;
     choice.candidates = static_cast<unsigned>(scored.size());
     if (scored.empty()) {
         return choice;
@@ -153,6 +163,11 @@
     return choice;
 }
 
+bool is_barred(target_choice const& choice) {
+    return choice.candidates == 0 && choice.paused == 0 &&
+           main_denial(choice.denied) != access_denial::none;
+}
+
 bool is_quiet(target_view const& view, choice_settings const& settings, time_point now) {
     bool const asked = view.own_in_flight > 0 || now < view.quiet_until;
     return asked && view.heard_at &&
--- a/src/targetchoice.h
+++ b/src/targetchoice.h
@@ -5,6 +5,7 @@
 
 #include "clock.h"
 #include "rng.h"
+#include "targetaccess.h"
 #include "targetdirectory.h"
 
 #include <cstdint>
@@ -33,6 +34,7 @@
     std::vector<std::string> const* subset{nullptr};
     /// Groups in which no further stream may start; other targets are preferred.
     std::vector<std::string> full_groups;
+    access_rules const* access{nullptr}; ///< null: all targets are allowed
 };
 
 /// A target's membership in a group of ranks that run each forward pass together.
@@ -102,6 +104,8 @@
     bool suspect{false};   ///< recently answered with an error
     std::string group;     ///< empty if unknown
     bool group_full{false}; ///< no further stream may start in its group
+    denied_targets denied;  ///< left out by the access rules
+    unsigned paused{0};     ///< allowed targets that asked for a pause
 };
 
 /// Estimates the current load of a target.
@@ -116,6 +120,9 @@
                             target_filter const& filter, choice_settings const& settings,
                             rng& random, time_point now);
 
+/// Whether the access rules alone leave a request without any target, so that waiting is useless.
+bool is_barred(target_choice const& choice);
+
 /// Whether a target with an agent leaves this gateway's requests unanswered while its agent is not
 /// heard of either: its VM stands still or is cut off. A silent agent alone proves nothing, since
 /// the target may answer without it, and neither does a target that is asked for nothing.
