Cold targets: what targets and engines say about it reaches the gateways

An announcement that a target is cold again, or for longer, goes to the gateways like a change of its state; before, only registrars got it.

--- a/src/callmessage.h
+++ b/src/callmessage.h
@@ -57,7 +57,8 @@
     std::string target_id;        ///< of the target that responded; may be empty
     std::string faulty_target_id; ///< the target because of which its group refused the request
     std::optional<reported_load> load;
-    bool leaving{false}; ///< the target is about to end
+    bool leaving{false};                    ///< the target is about to end
+    std::chrono::milliseconds cold_left{0}; ///< the target stays cold for so long
     /// With status 503: the target wants no request from this gateway for so long.
     std::optional<std::chrono::milliseconds> retry_after;
 };
--- a/src/directorywire.cpp
+++ b/src/directorywire.cpp
@@ -296,6 +296,7 @@
     wired.set_group_size(plain.group_size);
     wired.set_group_open(plain.group_open);
     wired.set_pass_ms(plain.pass_time.count());
+    wired.set_cold_left_ms(plain.cold_left.count());
     return wired.SerializeAsString();
 }
 
@@ -318,6 +319,7 @@
     plain.group_size = wired.group_size();
     plain.group_open = wired.group_open();
     plain.pass_time = std::chrono::duration<double, std::milli>{wired.pass_ms()};
+    plain.cold_left = std::chrono::milliseconds{wired.cold_left_ms()};
     return plain;
 }
 
--- a/src/engineload.h
+++ b/src/engineload.h
@@ -29,6 +29,7 @@
     bool group_open{true};
     /// Smoothed duration of a forward pass of the group.
     std::chrono::duration<double, std::milli> pass_time{0};
+    std::chrono::milliseconds cold_left{0}; ///< the engine stays cold for so long
 };
 
 /// How often an agent sends reports to a gateway. The total is large, since each agent sends to
--- a/src/enginereport.h
+++ b/src/enginereport.h
@@ -38,7 +38,8 @@
     std::uint64_t kv_tokens_total{0};
     bool command_in_progress{false};
     std::uint64_t commands_accepted{0};
-    double slowdown{1.0}; ///< 1 at normal speed, above 1 when the engine is slow
+    double slowdown{1.0};                   ///< 1 at normal speed, above 1 when the engine is slow
+    std::chrono::milliseconds cold_left{0}; ///< it stays cold for so long
     std::optional<engine_group> group;
     std::uint64_t pass{0};        ///< last forward pass that started
     std::uint64_t map_version{0}; ///< version of the expert placement map in use
--- a/src/rankagent.cpp
+++ b/src/rankagent.cpp
@@ -65,6 +65,7 @@
         load.kv_tokens_used = report.kv_tokens_used;
         load.kv_tokens_total = report.kv_tokens_total;
         load.slowdown = report.slowdown;
+        load.cold_left = report.cold_left;
         if (report.group) {
             load.group = report.group->name;
             load.epoch = report.group->epoch;
--- a/src/targetdirectory.cpp
+++ b/src/targetdirectory.cpp
@@ -21,7 +21,8 @@
 bool changes_routing(target_announcement const& candidate, target_announcement const& current) {
     return candidate.started_at != current.started_at || candidate.state != current.state ||
            candidate.address != current.address || candidate.service != current.service ||
-           candidate.slots != current.slots || candidate.zone != current.zone;
+           candidate.slots != current.slots || candidate.zone != current.zone ||
+           candidate.warm_up_left > current.warm_up_left; // it has become cold again
 }
 
 void mark_changed(target_directory& directory, target_record& record) {
