Cold targets: gateways keep their declared rate together

A target whose part is used up is left out of the choice; a cold one counts as half full. Requests that find only such targets wait as long as they can be in time and are refused at once otherwise. Before, nothing knew a cold target, and one that had come back drew the crowd because it looked idle.

--- a/src/callnames.cpp
+++ b/src/callnames.cpp
@@ -91,6 +91,8 @@
         return "long_passes";
     case wait_cause::other_calls:
         return "other_calls";
+    case wait_cause::cold_targets:
+        return "cold_targets";
     }
     return "";
 }
--- a/src/callnames.h
+++ b/src/callnames.h
@@ -19,7 +19,8 @@
     full_group,  ///< this gateway's part of the group's limit is in use
     full_target, ///< the chosen target has no slot for it
     long_passes,
-    other_calls ///< that wait already
+    other_calls, ///< that wait already
+    cold_targets ///< this gateway's part of their rate is used up
 };
 
 /// Names as log lines have them.
--- a/src/events.h
+++ b/src/events.h
@@ -112,6 +112,7 @@
 inline constexpr log_event_kind crash_report_dropped{730, "crash_report_dropped", log_level::warn};
 inline constexpr log_event_kind target_leaving{736, "target_leaving", log_level::info};
 inline constexpr log_event_kind target_paused{737, "target_paused", log_level::info};
+inline constexpr log_event_kind target_cold{744, "target_cold", log_level::info};
 inline constexpr log_event_kind response_end_judged{738, "response_end_judged", log_level::info};
 inline constexpr log_event_kind part_suspected{739, "part_suspected", log_level::warn};
 inline constexpr log_event_kind group_reformed{731, "group_reformed", log_level::info};
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -91,6 +91,7 @@
                  {"routes", decoded.value().routes.size()}});
     owner.config = std::make_shared<service_config const>(std::move(decoded).value());
     owner.pass_needs = pass_requirements_of(*owner.config);
+    refresh_cold_targets(owner);
     std::erase_if(owner.run_history, [&](auto const& entry) {
         auto const& [name, service] = entry.first;
         return !is_used(*owner.config, name, service);
@@ -150,14 +151,25 @@
         }
         if (is_new) {
             auto const running = view.own_in_flight;
+            auto sends = std::move(view.cold.sends);
             view = {};
             view.own_in_flight = running;
+            view.cold.sends = std::move(sends);
         }
+        bool const says_anew = is_new || view.announcement.sequence != record.announcement.sequence;
         bool const refused_as_gone = !is_new && view.announcement.state == target_phase::departed;
         view.announcement = record.announcement;
         view.announcement.state =
             refused_as_gone ? target_phase::departed : record.announcement.state;
         view.last_heard = record.last_heard;
+        if (is_new) {
+            view.cold.first_seen = loop_now(owner.loop);
+            view.cold.age_when_seen = age_when_seen(owner, view);
+        }
+        if (says_anew) {
+            record_cold(view.cold, record.announcement.warm_up_left, loop_now(owner.loop));
+            refresh_cold_target(owner, view);
+        }
     }
     std::erase_if(owner.targets, [&](auto const& entry) {
         return !owner.directory.targets.contains(entry.first) && entry.second.own_in_flight == 0;
@@ -431,6 +443,7 @@
         send_crash_reports(owner);
         owner.retry_share.gateways =
             sharing_gateways(owner.gateway_counts, owner.subscriber, loop_now(owner.loop));
+        refresh_cold_targets(owner);
         confirm_config(owner);
         update_readiness(owner);
         daemon.callers->set_limits(limits_of(owner));
@@ -459,6 +472,7 @@
         set_gauge(*owner.metrics, "fireflycrank_calls_open", "",
                   static_cast<double>(owner.calls.size()));
         publish_groups(owner);
+        publish_cold_targets(owner);
         return true;
     });
 }
@@ -499,6 +513,7 @@
         return;
     }
     record_report(view, now);
+    note_cold_target(owner, view, report.cold_left);
     view.load =
         load_sample{now, report.running, report.waiting, view.own_in_flight, report.slowdown};
     if (!report.group.empty()) {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -7,6 +7,8 @@
 #include "beatsender.h"
 #include "callmessage.h"
 #include "callqueue.h"
+#include "coldpace.h"
+#include "coldtargets.h"
 #include "crashtracker.h"
 #include "directorysync.h"
 #include "engineload.h"
@@ -65,6 +67,8 @@
     retry_limits shared_retry_limits;
     gateway_count_history gateway_counts;
     allowance_share retry_share;
+    gateway_set gateways; ///< that share the rate of cold targets
+    cold_pace_settings cold_pace;
 
     std::shared_ptr<service_config const> config;
     std::uint64_t requested_config_version{0}; ///< requested last from a registrar
@@ -79,6 +83,7 @@
     std::map<std::string, pass_requirements> pass_needs; ///< by service
     std::map<std::string, slot_flow> slot_flows;         ///< by service
     std::map<std::string, return_plan> return_plans;     ///< by service
+    std::map<std::string, cold_wait> cold_waits;         ///< by service
     std::map<std::pair<std::string, std::string>, run_lengths>
         run_history; ///< by route and service
     time_limit_history time_limits;
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -204,9 +204,8 @@
         }
         auto const now = loop_now(owner_.loop);
         respond(unavailable, reason,
-                plan_return(owner_.return_plans[service_],
-                            free_slot_interval(owner_.slot_flows[service_], now), deadline_ - now,
-                            owner_.random, now));
+                plan_return(owner_.return_plans[service_], next_slot_interval(owner_, service_),
+                            deadline_ - now, owner_.random, now));
     }
 
     void on_queue_timeout() {
@@ -449,7 +448,7 @@
         need.slack = latest_send_time() - loop_now(owner_.loop);
         need.reserve = owner_.settings.policies.reserve_slots;
         if (!choice.healthy) {
-            return wait_cause::no_target;
+            return is_usable(choice) ? wait_cause::cold_targets : wait_cause::no_target;
         }
         if (!fireflycrank::has_capacity(choice, need)) {
             return choice.group_full ? wait_cause::full_group : wait_cause::full_target;
@@ -461,6 +460,7 @@
     // places.
     void check_room(target_choice const& choice) {
         wait_cause_ = cause_to_wait(choice);
+        note_cold_wait(owner_, service_, choice);
         auto const now = loop_now(owner_.loop);
         auto const group = owner_.groups.find(choice.group);
         bool const is_short = wait_cause_ == wait_cause::full_group && latest_send_time() >= now;
@@ -513,7 +513,7 @@
         }
         auto const choice = choose();
         auto& outage = owner_.outages[service_];
-        update_outage(outage, choice.healthy, loop_now(owner_.loop));
+        update_outage(outage, is_usable(choice), loop_now(owner_.loop));
         bool const stream = progress_.kind == call_kind::stream;
         if (stream && is_prolonged(outage, loop_now(owner_.loop))) {
             give_up("service_down");
@@ -529,7 +529,7 @@
             return;
         }
         join_queue();
-        if (stream && choice.healthy) {
+        if ((stream && choice.healthy) || wait_cause_ == wait_cause::cold_targets) {
             refuse_hopeless_calls(owner_, service_);
         }
     }
@@ -580,6 +580,7 @@
         auto& chosen = owner_.targets.at(target_id_);
         sent_to_ = {chosen.announcement.address, chosen.announcement.started_at, chosen.group};
         ++chosen.own_in_flight;
+        record_cold_send(chosen.cold, owner_.cold_pace, now);
         holds_slot_ = true;
         group_name_ = chosen.group ? chosen.group->name : std::string{};
         if (auto const group = owner_.groups.find(group_name_); group != owner_.groups.end()) {
@@ -609,6 +610,7 @@
                                       {"report_age_ms", in_millis(choice.report_age)},
                                       {"candidates", choice.candidates},
                                       {"suspect", choice.suspect},
+                                      {"cold", choice.cold},
                                       {"priority", priority_.value_or(lowest_priority)},
                                       {"route_priority", route_priority_},
                                       {"group_own", group_state().streams.own},
@@ -685,6 +687,7 @@
         if (known == nullptr) {
             return;
         }
+        note_cold_target(owner_, *known, response_->cold_left);
         if (response_->leaving && !known->leaving) {
             known->leaving = true;
             log_bounded(owner_.loop, events::target_leaving,
@@ -1007,7 +1010,20 @@
     // incarnation, which has not announced itself yet. The connection is kept for a later request,
     // which needs one, since this response has used up its own.
     void check_response_target() {
+        if (ended_) {
+            return;
+        }
         progress_.may_have_run = true; // the call may end before the check does
+        auto const delay = take_cold_send(owner_, target_id_);
+        if (delay > target_check_timeout && can_be_repeated()) {
+            judge_response(false);
+            return;
+        }
+        if (delay > duration::zero()) {
+            run_after(owner_.loop, delay,
+                      [self = shared_from_this()] { self->check_response_target(); });
+            return;
+        }
         auto const* const service = find_service(*owner_.config, service_);
         target_request request;
         request.address = sent_to_.address;
@@ -1354,7 +1370,7 @@
             fields.emplace_back("part", quarantined_part_);
         }
         if (wait_cause_ != wait_cause::none) {
-            auto const interval = free_slot_interval(owner_.slot_flows[service_], now);
+            auto const interval = next_slot_interval(owner_, service_);
             fields.emplace_back("waited_for", name_of(wait_cause_));
             fields.emplace_back("slack_ms", in_millis(latest_send_time() - now));
             fields.emplace_back("queued", queued_call_count(owner_.queue, service_));
@@ -1478,7 +1494,7 @@
         if (outage.since) {
             auto const choice = choose_target(owner.targets, service, owner.settings.zone, {},
                                               owner.target_selection, owner.random, now);
-            update_outage(outage, choice.healthy, now);
+            update_outage(outage, is_usable(choice), now);
         }
     }
 }
@@ -1517,9 +1533,10 @@
 
 void refuse_hopeless_calls(gateway& owner, std::string const& service) {
     auto const now = loop_now(owner.loop);
-    auto const interval = free_slot_interval(owner.slot_flows[service], now);
-    if (!owner.settings.policies.refuse_hopeless || interval <= duration::zero() ||
-        !owner.pass_needs.contains(service) || !slots_are_short(owner, service)) {
+    auto const interval = next_slot_interval(owner, service);
+    bool const is_short = waits_for_cold(owner, service) ||
+                          (owner.pass_needs.contains(service) && slots_are_short(owner, service));
+    if (!owner.settings.policies.refuse_hopeless || interval <= duration::zero() || !is_short) {
         return;
     }
     for (auto const id : hopeless_calls(owner.queue, service, order_of(owner), interval, now)) {
@@ -1544,6 +1561,7 @@
         auto& [streams, reporting, service] = samples[view.group->name];
         service = view.announcement.service;
         ++streams.ranks;
+        streams.unusable_ranks += unusable_share(owner, view);
         streams.own += view.own_in_flight;
         if (view.load && now - view.load->sampled_at < owner.target_selection.report_ttl) {
             ++reporting;
--- a/src/policysettings.cpp
+++ b/src/policysettings.cpp
@@ -28,6 +28,7 @@
     policy_field{"avoid_failing", &policy_settings::avoid_failing},
     policy_field{"retry_failed", &policy_settings::retry_failed},
     policy_field{"plan_early", &policy_settings::plan_early},
+    policy_field{"pace_cold_targets", &policy_settings::pace_cold_targets},
 };
 
 void apply_policy(merged_json& merged, policy_settings& policies, std::string const& key,
--- a/src/policysettings.h
+++ b/src/policysettings.h
@@ -23,6 +23,7 @@
     bool avoid_failing{true};     ///< prefer other targets after one has answered with a failure
     bool retry_failed{true};      ///< run a harmless request again after a failure
     bool plan_early{true};        ///< plan an expert map on the first passes after a sudden change
+    bool pace_cold_targets{true}; ///< send cold targets no more than their declared rate
 };
 
 /// Reads a JSON settings file; see parse_policies().
--- a/src/streamadmission.cpp
+++ b/src/streamadmission.cpp
@@ -48,8 +48,8 @@
     group.usual_own += newest_weight * (streams.own - group.usual_own);
     group.updated_at = now;
     group.streams = streams;
-    group.limit =
-        streams.ranks * sustainable_streams(group.passes, requirements, streams.slowdown, now);
+    group.limit = (streams.ranks - streams.unusable_ranks) *
+                  sustainable_streams(group.passes, requirements, streams.slowdown, now);
     double const equal_part = group.limit / std::max(1U, gateways);
     // What this gateway has started since the reports, others are likely to have started as well.
     double const started_since = gateways * (streams.own - group.usual_own);
--- a/src/streamadmission.h
+++ b/src/streamadmission.h
@@ -15,8 +15,9 @@
 struct group_streams {
     double running{0}; ///< running or waiting at the targets, by their load reports
     unsigned ranks{0};
-    unsigned own{0};      ///< unfinished ones of this gateway
-    double slowdown{1.0}; ///< of the slowest rank; 1 at normal speed
+    unsigned own{0};          ///< unfinished ones of this gateway
+    double slowdown{1.0};     ///< of the slowest rank; 1 at normal speed
+    double unusable_ranks{0}; ///< places that cold ranks cannot fill, in ranks
 };
 
 /// A gateway's view of one group.
--- a/src/targetchoice.cpp
+++ b/src/targetchoice.cpp
@@ -15,6 +15,10 @@
 constexpr double max_extra_requests = 1.0;
 constexpr std::chrono::milliseconds urgent_slack{40};
 
+// Part of its slots by which a cold target counts as filled. It is slow and its number of requests
+// says little, so warm targets are preferred until they are filled as much.
+constexpr double cold_fill = 0.5;
+
 bool contains(std::vector<std::string> const& ids, std::string const& id) {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
@@ -93,6 +97,7 @@
                             target_filter const& filter, choice_settings const& settings,
                             rng& random, time_point now) {
     std::vector<scored_target> scored;
+    cold_shortage left_out;
     auto const slowdowns = group_slowdowns(targets);
     bool const service_has_groups =
         std::any_of(targets.begin(), targets.end(), [&](auto const& entry) {
@@ -104,13 +109,17 @@
         if (view.announcement.service != service || !accepts || !allows(filter, id)) {
             continue;
         }
+        if (!may_send(view.cold, now)) {
+            if (health(view, service_has_groups, settings, now) <= health_level::quiet) {
+                add_shortage(left_out, view.cold);
+            }
+            continue;
+        }
         bool const group_full = view.group && contains(filter.full_groups, view.group->name);
-        scored_target candidate{&view,
-                                health(view, service_has_groups, settings, now),
-                                is_in_subset(filter, id),
-                                group_full,
-                                estimated_load(view, settings, now),
-                                0};
+        scored_target candidate{&view, health(view, service_has_groups, settings, now),
+                                // The part of a cold target spreads the gateways already.
+                                is_limited(view.cold, now) || is_in_subset(filter, id), group_full,
+                                estimated_load(view, settings, now), 0};
         auto const slots = std::max(1.0, static_cast<double>(view.announcement.slots));
         auto const found = view.group ? slowdowns.find(view.group->name) : slowdowns.end();
         auto const own_slowdown = view.load ? view.load->slowdown : 1.0;
@@ -118,12 +127,14 @@
             std::max(1.0, found == slowdowns.end() ? own_slowdown : found->second);
         auto const zone_penalty =
             view.announcement.zone == zone ? 0.0 : settings.cross_zone_penalty;
-        candidate.cost = ((candidate.load + 1.0) * slowdown + zone_penalty) / slots;
+        auto const fill = is_cold(view.cold, now) ? cold_fill * slots : 0.0;
+        candidate.cost = ((candidate.load + fill + 1.0) * slowdown + zone_penalty) / slots;
         scored.push_back(candidate);
     }
     target_choice choice;
     choice.candidates = static_cast<unsigned>(scored.size());
     if (scored.empty()) {
+        choice.cold_left_out = left_out;
         return choice;
     }
     auto const best = std::min_element(
@@ -144,11 +155,13 @@
     choice.id = chosen.view->announcement.id;
     choice.load = chosen.load;
     choice.healthy = chosen.health <= health_level::quiet;
+    choice.cold_left_out = choice.healthy ? cold_shortage{} : left_out;
     choice.suspect = chosen.health == health_level::suspect;
     choice.quiet = chosen.health == health_level::quiet;
     choice.slots = chosen.view->announcement.slots;
     choice.group = chosen.view->group ? chosen.view->group->name : std::string{};
     choice.group_full = chosen.group_full;
+    choice.cold = is_cold(chosen.view->cold, now);
     choice.report_age = chosen.view->load ? now - chosen.view->load->sampled_at : duration{-1};
     return choice;
 }
@@ -162,6 +175,7 @@
 void record_report(target_view& view, time_point now) {
     view.heard_at = now;
     view.quiet_until = {};
+    view.cold.doubted_until = {};
 }
 
 void release_run(target_view& view, choice_settings const& settings, time_point now) {
@@ -209,6 +223,7 @@
         settings.initial_backoff * (1U << std::min(view.consecutive_failures, max_doublings));
     ++view.consecutive_failures;
     view.backoff_until = now + std::min(interval, settings.max_backoff);
+    record_doubt(view.cold, {}, now);
 }
 
 void record_pause(target_view& view, duration pause, time_point now) {
--- a/src/targetchoice.h
+++ b/src/targetchoice.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "clock.h"
+#include "coldpace.h"
 #include "rng.h"
 #include "targetdirectory.h"
 
@@ -61,6 +62,7 @@
     bool responsive{true};      ///< false: it does not answer its agent
     bool leaving{false};        ///< this incarnation said in a response that it is about to end
     time_point pauses_until{};  ///< it asked this gateway to send nothing until then
+    cold_state cold;
 };
 
 /// Weights and times of choose_target().
@@ -102,8 +104,17 @@
     bool suspect{false};   ///< recently answered with an error
     std::string group;     ///< empty if unknown
     bool group_full{false}; ///< no further stream may start in its group
+    bool cold{false};
+    /// Healthy cold targets without a part left, if no other healthy target is a candidate.
+    cold_shortage cold_left_out;
 };
 
+/// Whether there is a target that can take requests, now or once it has taken fewer in the last
+/// second.
+inline bool is_usable(target_choice const& choice) {
+    return choice.healthy || choice.cold_left_out.targets > 0;
+}
+
 /// Estimates the current load of a target.
 /// @return number of running and waiting requests
 double estimated_load(target_view const& view, choice_settings const& settings, time_point now);
