--- a/src/streamadmission.cpp
+++ b/src/streamadmission.cpp
@@ -49,9 +49,10 @@
     group.updated_at = now;
     group.streams = streams;
     // A pass takes as long as all ranks need for the streams of the whole group.
+    double const usable_ranks = streams.ranks - streams.unusable_ranks;
     group.limit = std::min(
-        streams.ranks * sustainable_streams(group.passes, requirements, streams.slowdown, now),
-        (streams.ranks - streams.closed_ranks) * requirements.slots);
+        usable_ranks * sustainable_streams(group.passes, requirements, streams.slowdown, now),
+        (usable_ranks - streams.closed_ranks) * requirements.slots);
     if (group.limit <= 0) {
         group.own_limit = 0;
         return;
--- a/src/streamadmission.h
+++ b/src/streamadmission.h
@@ -18,6 +18,7 @@
     unsigned own{0};          ///< unfinished ones of this gateway
     double slowdown{1.0};     ///< of the slowest rank; 1 at normal speed
     unsigned closed_ranks{0}; ///< those in evacuated zones: in every pass, but without places
+    double unusable_ranks{0}; ///< places that cold ranks cannot fill, in ranks
 };
 
 /// A gateway's view of one group.
