--- a/src/targetchoice.cpp
+++ b/src/targetchoice.cpp
@@ -177,7 +177,7 @@
 }
 
 bool is_barred(target_choice const& choice) {
-    return choice.candidates == 0 && choice.paused == 0 &&
+    return choice.candidates == 0 && choice.paused == 0 && choice.cold_left_out.targets == 0 &&
            main_denial(choice.denied) != access_denial::none;
 }
 
