--- a/tests/gateway_evacuations_test.cpp
+++ b/tests/gateway_evacuations_test.cpp
@@ -174,6 +174,30 @@
     CHECK(zoned_world::requests_at(world.first) == 0);
 }
 
+// The same behind a call that may still wait: only the front of the queue is tried regularly.
+TEST_CASE("a call is refused in the middle of the queue when its last zone is evacuated") {
+    zoned_world world{whole};
+    world.add_second();
+    auto config = std::make_shared<service_config>(*world.owner.config);
+    config->routes.front().regions = {"north"};
+    REQUIRE(index_config(*config));
+    world.owner.config = config;
+    for (auto& [id, view] : world.owner.targets) {
+        view.own_in_flight = 12;
+    }
+    raw_connection front{world.owner.loop};
+    front.socket.connect(parse_endpoint(world.address).value());
+    front.read();
+    std::string const request = "POST /stream/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a0\r\n\r\n";
+    net::async_write(front.socket, net::buffer(request), [](net_error, std::size_t) {});
+    REQUIRE(run_until(world.owner.loop, [&] { return !world.owner.queued_calls.empty(); }));
+    world.schedule(milliseconds{100}, [&] { evacuate(world.owner, {"z"}); });
+    auto const begun = loop_now(world.owner.loop);
+    CHECK(world.call("resumable").status == 503);
+    CHECK(loop_now(world.owner.loop) - begun < milliseconds{250});
+    CHECK(front.received.empty());
+}
+
 // A target that only asked for a pause can be waited for.
 TEST_CASE("a request waits for a paused target where an evacuated one is left out") {
     zoned_world world{whole};
