HTTP reader: remove parsed bytes once for each read

Each parsed chunk was erased from the front of up to 16 KiB of buffered bytes, so that a body in 1-byte chunks moved the rest of the buffer for each byte.

--- a/src/httpmessage.cpp
+++ b/src/httpmessage.cpp
@@ -150,15 +150,18 @@
 read_fault message_reader::put(std::string_view bytes) {
     parts_->any = parts_->any || !bytes.empty();
     parts_->unparsed.append(bytes);
-    return parts_->visit([&](auto& parser) {
+    // Parsed bytes are removed once at the end: to remove each tiny chunk from the front would move
+    // the rest each time.
+    std::size_t parsed = 0;
+    auto const fault = parts_->visit([&](auto& parser) {
         beast_error failed;
-        while (!parser.is_done() && !parts_->unparsed.empty()) {
-            auto const used = parser.put(
-                boost::asio::buffer(parts_->unparsed.data(), parts_->unparsed.size()), failed);
-            parts_->unparsed.erase(0, used);
+        while (!parser.is_done() && parsed < parts_->unparsed.size()) {
+            auto const left = parts_->unparsed.size() - parsed;
+            auto const used =
+                parser.put(boost::asio::buffer(parts_->unparsed.data() + parsed, left), failed);
+            parsed += used;
             if (failed == http::error::need_more || (!failed && used == 0)) {
-                bool const endless =
-                    parser.is_header_done() && parts_->unparsed.size() > max_framing_bytes;
+                bool const endless = parser.is_header_done() && left - used > max_framing_bytes;
                 return endless ? read_fault::malformed : read_fault::none;
             }
             if (failed) {
@@ -167,6 +170,8 @@
         }
         return read_fault::none;
     });
+    parts_->unparsed.erase(0, parsed);
+    return fault;
 }
 
 read_fault message_reader::put_eof() {
