--- a/src/peerlink.cpp
+++ b/src/peerlink.cpp
@@ -27,6 +27,8 @@
 constexpr std::chrono::milliseconds inbound_life{3'200};
 constexpr std::chrono::milliseconds outbound_life{3'200};
 constexpr std::chrono::milliseconds idle_limit{30'000};
+// Without a pause, a process without free descriptors would retry to accept all the time.
+constexpr std::chrono::milliseconds accept_pause{50};
 
 using steady = std::chrono::steady_clock;
 
@@ -97,12 +99,13 @@
 
 struct peer_link::implementation : std::enable_shared_from_this<implementation> {
     explicit implementation(net::io_context& loop)
-        : context{&loop}, acceptor{loop}, datagrams{loop} {}
+        : context{&loop}, acceptor{loop}, accept_timer{loop}, datagrams{loop} {}
 
     net::io_context* context;
     std::string address;
     peer_link::handler on_message;
     tcp::acceptor acceptor;
+    net::steady_timer accept_timer;
     udp::socket datagrams;
     udp::endpoint datagram_sender;
     std::array<char, 2 * max_datagram_bytes> datagram{};
@@ -133,8 +136,15 @@
         if (!failed) {
             tune_socket(socket, inbound_life);
             self->read(std::make_shared<inbound>(std::move(socket)));
+            self->accept();
+            return;
         }
-        self->accept();
+        self->accept_timer.expires_after(accept_pause);
+        self->accept_timer.async_wait([self](net_error cancelled) {
+            if (!cancelled && !self->closed) {
+                self->accept();
+            }
+        });
     });
 }
 
