Listeners: callers hold no more memory and connections than the settings allow

Limits of a connection alone did not bound their sum: 60 bodies of 4 MiB that stop short of their end took 287 MB of a gateway's 128. All listeners of a process now share one account.

--- a/src/eventloop.cpp
+++ b/src/eventloop.cpp
@@ -126,7 +126,43 @@
         writer->send(ok_status, {{"Content-Type", "text/plain; version=0.0.4"}},
                      render_metrics(*registry));
     };
-    return http_listener::open(loop.context, settings.ip + ":" + metrics_port, loop.clock, serve);
+    return http_listener::open(loop.context, settings.ip + ":" + metrics_port, loop.clock, serve,
+                               loop.admission);
+}
+
+void limit_outsiders(event_loop& loop, vm_settings const& settings) {
+    auto const limits = limits_of_process(settings.memory_bytes, settings.file_descriptors);
+    loop.admission->budget.limits = limits;
+    if (limits.bytes > 0) {
+        return_large_blocks();
+    }
+    log_event(events::outsider_limits,
+              {{"bytes", limits.bytes}, {"connections", limits.connections}});
+}
+
+void report_outsiders(event_loop& loop, metrics_registry& registry) {
+    auto const& admission = *loop.admission;
+    set_gauge(registry, "fireflycrank_held_bytes", "", static_cast<double>(admission.budget.held));
+    set_gauge(registry, "fireflycrank_connections", "",
+              static_cast<double>(admission.connections()));
+    for (auto const& [reason, total] : admission.refusals()) {
+        auto& reported = loop.reported_refusals[reason];
+        if (reported == total) {
+            continue;
+        }
+        auto const labels = "reason=\"" + reason + "\"";
+        count(registry, "fireflycrank_outsiders_refused_total", labels,
+              static_cast<double>(total - reported));
+        log_bounded(loop,
+                    reason == "no_connection_free" || reason == "connection_closed"
+                        ? events::connections_refused
+                        : events::requests_refused,
+                    {{"reason", reason},
+                     {"count", total - reported},
+                     {"held_bytes", admission.budget.held},
+                     {"connections", admission.connections()}});
+        reported = total;
+    }
 }
 
 double in_millis(duration span) {
--- a/src/eventloop.h
+++ b/src/eventloop.h
@@ -3,6 +3,7 @@
 /// that are read again, and a bounded log.
 #pragma once
 
+#include "bodyadmission.h"
 #include "clock.h"
 #include "events.h"
 #include "httplistener.h"
@@ -13,6 +14,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -41,8 +43,21 @@
     net::io_context context{1};
     runtime_clock clock;
     log_allowance logs;
+    /// What outsiders hold at all listeners of the process.
+    std::shared_ptr<body_admission> admission{std::make_shared<body_admission>()};
+    std::map<std::string, std::uint64_t> reported_refusals; ///< by reason, as last logged
 };
 
+/// Sets the limits of what outsiders hold, from those of the process.
+/// @param loop the loop
+/// @param settings the VM
+void limit_outsiders(event_loop& loop, vm_settings const& settings);
+
+/// Publishes what outsiders hold and who was refused, and logs what changed since the last call.
+/// @param loop the loop
+/// @param registry the metrics
+void report_outsiders(event_loop& loop, metrics_registry& registry);
+
 /// The time.
 /// @param loop the loop
 /// @return the monotonic time
--- a/src/events.h
+++ b/src/events.h
@@ -114,6 +114,9 @@
 inline constexpr log_event_kind target_paused{737, "target_paused", log_level::info};
 inline constexpr log_event_kind response_end_judged{738, "response_end_judged", log_level::info};
 inline constexpr log_event_kind part_suspected{739, "part_suspected", log_level::warn};
+inline constexpr log_event_kind outsider_limits{740, "outsider_limits", log_level::info};
+inline constexpr log_event_kind requests_refused{741, "requests_refused", log_level::warn};
+inline constexpr log_event_kind connections_refused{742, "connections_refused", log_level::warn};
 inline constexpr log_event_kind group_reformed{731, "group_reformed", log_level::info};
 inline constexpr log_event_kind map_change_planned{732, "map_change_planned", log_level::info};
 inline constexpr log_event_kind map_change_stage{733, "map_change_stage", log_level::info};
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -372,6 +372,7 @@
     auto& owner = daemon.state;
     auto& context = owner.loop.context;
     auto const& listen = owner.settings.listen;
+    limit_outsiders(owner.loop, owner.settings);
     BOOST_OUTCOME_TRY(link, peer_link::open(context, owner.subscriber.self.address,
                                             [&owner](peer_message const& message) {
                                                 on_message(owner, message);
@@ -382,24 +383,27 @@
                      context, listen.callers, owner.loop.clock,
                      [&owner](incoming_request request, std::shared_ptr<response_writer> writer) {
                          serve_call(owner, std::move(request), std::move(writer));
-                     }));
+                     },
+                     owner.loop.admission));
     daemon.callers = callers;
     if (!listen.readiness.empty()) {
-        BOOST_OUTCOME_TRY(
-            readiness, http_listener::open(context, listen.readiness, owner.loop.clock,
-                                           [&owner](incoming_request const& request,
-                                                    std::shared_ptr<response_writer> const& out) {
-                                               serve_readiness(owner, request, *out);
-                                           }));
+        BOOST_OUTCOME_TRY(readiness, http_listener::open(
+                                         context, listen.readiness, owner.loop.clock,
+                                         [&owner](incoming_request const& request,
+                                                  std::shared_ptr<response_writer> const& out) {
+                                             serve_readiness(owner, request, *out);
+                                         },
+                                         owner.loop.admission));
         daemon.readiness = readiness;
     }
     if (!listen.directory.empty()) {
-        BOOST_OUTCOME_TRY(
-            directory, http_listener::open(context, listen.directory, owner.loop.clock,
-                                           [&owner](incoming_request const& request,
-                                                    std::shared_ptr<response_writer> const& out) {
-                                               serve_directory(owner, request, *out);
-                                           }));
+        BOOST_OUTCOME_TRY(directory, http_listener::open(
+                                         context, listen.directory, owner.loop.clock,
+                                         [&owner](incoming_request const& request,
+                                                  std::shared_ptr<response_writer> const& out) {
+                                             serve_directory(owner, request, *out);
+                                         },
+                                         owner.loop.admission));
         daemon.directory = directory;
     }
     BOOST_OUTCOME_TRY(metrics, open_metrics(owner.loop, owner.settings, owner.metrics));
@@ -459,6 +463,7 @@
         set_gauge(*owner.metrics, "fireflycrank_calls_open", "",
                   static_cast<double>(owner.calls.size()));
         publish_groups(owner);
+        report_outsiders(owner.loop, *owner.metrics);
         return true;
     });
 }
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -5,6 +5,7 @@
 #include "gateway.h"
 #include "platform/callheaders.h"
 #include "responseend.h"
+#include "responseroom.h"
 
 #include <algorithm>
 
@@ -118,6 +119,7 @@
             return;
         }
         if (now < expires_at_) {
+            resume_response();
             leave_quiet_target(now);
             return;
         }
@@ -589,6 +591,7 @@
         events_before_run_ = splitter_.event_count;
         response_.reset();
         response_body_.clear();
+        waiting_for_room_ = false;
         exchange_end_ = {};
         log_attempt(choice);
         auto request = make_target_request(chosen);
@@ -719,11 +722,14 @@
     bool on_body(std::string const& bytes) {
         record_response_part();
         if (!is_streaming()) {
+            bool const has_room =
+                reserve_response(*writer_, response_head_, response_body_, bytes.size());
             response_body_ += bytes;
             if (response_body_.size() > max_response_bytes) {
                 abort_oversized_response();
             }
-            return true;
+            waiting_for_room_ = !has_room;
+            return has_room;
         }
         write_events(split_events(splitter_, bytes));
         if (exceeds_limits(splitter_)) {
@@ -742,6 +748,15 @@
         return has_buffer_space;
     }
 
+    // Reads on once the process has room for the response.
+    void resume_response() {
+        if (waiting_for_room_ && exchange_ &&
+            reserve_response(*writer_, response_head_, response_body_, 0)) {
+            waiting_for_room_ = false;
+            exchange_->resume();
+        }
+    }
+
     // Ends an exchange that exceeded a size limit; the target is avoided for a while.
     void abort_oversized_response() {
         exchange_->cancel();
@@ -1451,6 +1466,7 @@
     std::optional<target_response> response_;
     message_head response_head_;
     std::string response_body_;
+    bool waiting_for_room_{false}; ///< for the rest of the response
     event_splitter splitter_;
 };
 
--- a/src/httplistener.h
+++ b/src/httplistener.h
@@ -4,6 +4,7 @@
 /// that it cannot look complete, and enforces time limits on slow senders.
 #pragma once
 
+#include "bodyadmission.h"
 #include "clock.h"
 #include "error.h"
 #include "httpmessage.h"
@@ -56,6 +57,9 @@
     virtual void abort() = 0;
     /// Bytes that have not been written to the socket yet.
     [[nodiscard]] virtual std::size_t unsent_bytes() const = 0;
+    /// Sets how many bytes the handler holds for this request besides the body and its copy.
+    /// @return false if the process has no room for them; then nothing is counted
+    virtual bool hold(std::size_t bytes) = 0;
     /// Sets the handler called once if the connection closes before the response ends.
     virtual void on_disconnect(std::function<void()> handler) = 0;
     /// Sets the handler called each time all queued bytes have been written to the socket.
@@ -71,11 +75,11 @@
     /// Starts to listen.
     /// @param address "ip:port" to bind
     /// @param handler called from the event loop for each request
+    /// @param admission the process's account; null: nothing is limited
     /// @return the listener; `unavailable` if the address cannot be bound
-    static result<std::shared_ptr<http_listener>> open(net::io_context& loop,
-                                                       std::string const& address,
-                                                       runtime_clock const& clock,
-                                                       request_handler handler);
+    static result<std::shared_ptr<http_listener>>
+    open(net::io_context& loop, std::string const& address, runtime_clock const& clock,
+         request_handler handler, std::shared_ptr<body_admission> admission = nullptr);
 
     http_listener(http_listener const&) = delete;
     http_listener& operator=(http_listener const&) = delete;
--- a/src/rankagent.cpp
+++ b/src/rankagent.cpp
@@ -274,6 +274,7 @@
     run_every(agent.loop, housekeeping_period, [&agent] {
         remove_expired(agent.directory, {}, loop_now(agent.loop));
         agent.metrics_listener->enforce_timeouts();
+        report_outsiders(agent.loop, *agent.metrics);
         remember_engines(agent);
         request_config(agent);
         return true;
@@ -348,6 +349,7 @@
                                                 on_message(agent, message);
                                             }));
     agent.link = link;
+    limit_outsiders(agent.loop, agent.settings);
     BOOST_OUTCOME_TRY(metrics, open_metrics(agent.loop, agent.settings, agent.metrics));
     agent.metrics_listener = metrics;
     watch_file(agent.loop, settings_path, [&agent] { reload(agent); });
--- a/src/registrar.cpp
+++ b/src/registrar.cpp
@@ -52,6 +52,8 @@
 // The time left of a quarantine is told as it was so long ago at most.
 constexpr std::chrono::seconds suspects_life{1};
 constexpr std::size_t max_operator_body = 16U << 20U;
+// Decoded values up to this size are covered by what the process keeps for itself.
+constexpr std::size_t small_json_bytes = 256U << 10U;
 
 // A core VM has a small part of a processor, so the timers are slower than the product's own.
 constexpr std::chrono::milliseconds heartbeat{100};
@@ -64,6 +66,7 @@
 constexpr unsigned temporary_redirect = 307;
 constexpr unsigned bad_request = 400;
 constexpr unsigned not_found = 404;
+constexpr unsigned body_too_large = 413;
 constexpr unsigned unavailable = 503;
 
 constexpr char const* empty_object = "{}";
@@ -624,6 +627,16 @@
 
 void serve_control(registrar_daemon& daemon, incoming_request const& request,
                    std::shared_ptr<response_writer> const& writer) {
+    // Values take far more memory than their text, so a legal size alone does not bound them.
+    auto const decoded = decoded_json_bytes(request.body);
+    if (decoded > request.body.size() + small_json_bytes && !writer->hold(decoded)) {
+        auto const alone = decoded + 2 * request.body.size();
+        bool const never =
+            missing_bytes({daemon.loop.admission->budget.limits, 0}, alone, false) > 0;
+        daemon.loop.admission->count_refusal(never ? "too_many_values" : "no_room");
+        writer->send(never ? body_too_large : unavailable, {}, {});
+        return;
+    }
     auto const call = platform::decode_registrar_request(request.head.method, request.head.target);
     switch (call.kind) {
     case platform::registrar_request_kind::heartbeat:
@@ -882,6 +895,7 @@
         end_operator_calls(daemon, operator_patience);
         daemon.control->enforce_timeouts();
         daemon.metrics_listener->enforce_timeouts();
+        report_outsiders(daemon.loop, *daemon.metrics);
         set_gauge(*daemon.metrics, "fireflycrank_targets_known", "",
                   static_cast<double>(daemon.directory.targets.size()));
         set_gauge(*daemon.metrics, "fireflycrank_configuration_version", "",
@@ -898,12 +912,14 @@
             on_message(daemon, message);
         }));
     daemon.link = link;
-    BOOST_OUTCOME_TRY(
-        control, http_listener::open(context, daemon.settings.listen.control, daemon.loop.clock,
-                                     [&daemon](incoming_request const& request,
-                                               std::shared_ptr<response_writer> const& out) {
-                                         serve_control(daemon, request, out);
-                                     }));
+    limit_outsiders(daemon.loop, daemon.settings);
+    BOOST_OUTCOME_TRY(control, http_listener::open(
+                                   context, daemon.settings.listen.control, daemon.loop.clock,
+                                   [&daemon](incoming_request const& request,
+                                             std::shared_ptr<response_writer> const& out) {
+                                       serve_control(daemon, request, out);
+                                   },
+                                   daemon.loop.admission));
     daemon.control = control;
     listener_limits limits;
     limits.body_bytes = max_operator_body;
