Gateways start slowly: limits from the engine's traits and reports until passes are observed

A gateway that has just started knew neither the cost of a stream nor how many gateways share the limit, and targets whose group was not known had no limit at all: after a power cut 27 gateways sent 704 streams in the first second.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -431,6 +431,7 @@
         send_crash_reports(owner);
         owner.retry_share.gateways =
             sharing_gateways(owner.gateway_counts, owner.subscriber, loop_now(owner.loop));
+        record_census(owner.census, owner.retry_share.gateways, loop_now(owner.loop));
         confirm_config(owner);
         update_readiness(owner);
         daemon.callers->set_limits(limits_of(owner));
@@ -481,6 +482,7 @@
     shared_retry_limits.window = settings.bounds.retry_window;
     started_at = loop_now(loop);
     retry_share.process_started = started_at;
+    census.changed_at = started_at;
     // A process makes fewer reports per millisecond, so the next process starts at higher numbers.
     constexpr std::uint64_t reports_per_ms = 1'000;
     crashes.last_report_number = subscriber.self.started * reports_per_ms;
@@ -499,8 +501,8 @@
         return;
     }
     record_report(view, now);
-    view.load =
-        load_sample{now, report.running, report.waiting, view.own_in_flight, report.slowdown};
+    view.load = load_sample{
+        now, report.running, report.waiting, view.own_in_flight, report.slowdown, report.pass_time};
     if (!report.group.empty()) {
         view.group =
             group_membership{report.group, report.epoch, report.rank, report.group_open, now};
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -1,7 +1,8 @@
 /// @file
 /// A gateway accepts callers' requests, chooses a target for each, forwards it, and retries where
 /// that is safe. Everything runs on one event loop, so nothing is locked. gateway.cpp maintains the
-/// state, gatewaycall.cpp serves requests, gatewaycrash.cpp handles requests that crash targets.
+/// state, gatewaygroups.cpp the limits of groups, gatewaycall.cpp serves requests, gatewaycrash.cpp
+/// handles requests that crash targets.
 #pragma once
 
 #include "beatsender.h"
@@ -65,6 +66,7 @@
     retry_limits shared_retry_limits;
     gateway_count_history gateway_counts;
     allowance_share retry_share;
+    gateway_census census; ///< how many gateways share the limits of groups
 
     std::shared_ptr<service_config const> config;
     std::uint64_t requested_config_version{0}; ///< requested last from a registrar
@@ -102,6 +104,14 @@
 /// Sends queued calls for which there is a free slot now.
 void admit_calls(gateway& owner);
 
+/// Whether new streams of a service can only begin when running ones end.
+bool slots_are_short(gateway const& owner, std::string const& service);
+
+/// Returns the mean time between two slots of a service that become free for this gateway, as
+/// expected while it has just started.
+/// @return zero if unknown
+duration slot_interval(gateway const& owner, std::string const& service);
+
 /// Refuses queued streams of a service that could not begin in time.
 void refuse_hopeless_calls(gateway& owner, std::string const& service);
 
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -204,9 +204,8 @@
         }
         auto const now = loop_now(owner_.loop);
         respond(unavailable, reason,
-                plan_return(owner_.return_plans[service_],
-                            free_slot_interval(owner_.slot_flows[service_], now), deadline_ - now,
-                            owner_.random, now));
+                plan_return(owner_.return_plans[service_], slot_interval(owner_, service_),
+                            deadline_ - now, owner_.random, now));
     }
 
     void on_queue_timeout() {
@@ -581,7 +580,7 @@
         sent_to_ = {chosen.announcement.address, chosen.announcement.started_at, chosen.group};
         ++chosen.own_in_flight;
         holds_slot_ = true;
-        group_name_ = chosen.group ? chosen.group->name : std::string{};
+        group_name_ = chosen.group ? chosen.group->name : ungrouped_name(service_);
         if (auto const group = owner_.groups.find(group_name_); group != owner_.groups.end()) {
             ++group->second.streams.own;
         }
@@ -668,9 +667,10 @@
             return false;
         }
         if (auto* const known = current_target(); known != nullptr && answer.load) {
-            auto const pace = known->load ? known->load->slowdown : 1.0;
-            known->load = load_sample{loop_now(owner_.loop), answer.load->running,
-                                      answer.load->waiting, known->own_in_flight, pace};
+            auto const before = known->load.value_or(load_sample{});
+            known->load =
+                load_sample{loop_now(owner_.loop), answer.load->running, answer.load->waiting,
+                            known->own_in_flight,  before.slowdown,      before.pass};
         }
         response_ = std::move(answer);
         response_head_ = head;
@@ -1354,7 +1354,7 @@
             fields.emplace_back("part", quarantined_part_);
         }
         if (wait_cause_ != wait_cause::none) {
-            auto const interval = free_slot_interval(owner_.slot_flows[service_], now);
+            auto const interval = slot_interval(owner_, service_);
             fields.emplace_back("waited_for", name_of(wait_cause_));
             fields.emplace_back("slack_ms", in_millis(latest_send_time() - now));
             fields.emplace_back("queued", queued_call_count(owner_.queue, service_));
@@ -1485,13 +1485,6 @@
 
 namespace {
 
-// Whether new streams of a service can only begin when running ones end.
-bool slots_are_short(gateway const& owner, std::string const& service) {
-    return std::all_of(owner.groups.begin(), owner.groups.end(), [&](auto const& entry) {
-        return entry.second.service != service || is_busy(entry.second);
-    });
-}
-
 queue_order order_of(gateway const& owner) {
     return owner.settings.policies.order_by_priority ? queue_order::by_priority
                                                      : queue_order::by_time;
@@ -1517,7 +1510,7 @@
 
 void refuse_hopeless_calls(gateway& owner, std::string const& service) {
     auto const now = loop_now(owner.loop);
-    auto const interval = free_slot_interval(owner.slot_flows[service], now);
+    auto const interval = slot_interval(owner, service);
     if (!owner.settings.policies.refuse_hopeless || interval <= duration::zero() ||
         !owner.pass_needs.contains(service) || !slots_are_short(owner, service)) {
         return;
@@ -1528,43 +1521,6 @@
     }
 }
 
-void update_groups(gateway& owner) {
-    auto const now = loop_now(owner.loop);
-    struct sample {
-        group_streams streams;
-        unsigned reporting{0};
-        std::string service;
-    };
-    std::map<std::string, sample> samples;
-    for (auto const& [id, view] : owner.targets) {
-        bool const usable = view.group && view.announcement.state != target_phase::departed;
-        if (!usable) {
-            continue;
-        }
-        auto& [streams, reporting, service] = samples[view.group->name];
-        service = view.announcement.service;
-        ++streams.ranks;
-        streams.own += view.own_in_flight;
-        if (view.load && now - view.load->sampled_at < owner.target_selection.report_ttl) {
-            ++reporting;
-            streams.running += estimated_load(view, owner.target_selection, now);
-            streams.slowdown = std::max(streams.slowdown, view.load->slowdown);
-        }
-    }
-    std::erase_if(owner.groups, [&](auto const& entry) { return !samples.contains(entry.first); });
-    for (auto& [name, sample] : samples) {
-        auto const needs = owner.pass_needs.find(sample.service);
-        if (needs == owner.pass_needs.end() || sample.reporting == 0) {
-            owner.groups.erase(name);
-            continue;
-        }
-        sample.streams.running *= static_cast<double>(sample.streams.ranks) / sample.reporting;
-        owner.groups[name].service = sample.service;
-        update_limits(owner.groups[name], sample.streams, needs->second,
-                      static_cast<unsigned>(owner.retry_share.gateways), now);
-    }
-}
-
 void refuse_quarantined_calls(gateway& owner) {
     auto const waiting = owner.queued_calls;
     for (auto const& [id, call] : waiting) {
--- /dev/null
+++ b/src/gatewaygroups.cpp
@@ -0,0 +1,133 @@
+#include "gateway.h"
+
+#include <algorithm>
+#include <map>
+
+namespace fireflycrank {
+
+namespace {
+
+struct group_sample {
+    group_streams streams;
+    unsigned reporting{0};
+    std::string service;
+};
+
+void add_report(group_sample& sample, target_view const& view, choice_settings const& settings,
+                time_point now) {
+    ++sample.reporting;
+    sample.streams.running += estimated_load(view, settings, now);
+    sample.streams.slowdown = std::max(sample.streams.slowdown, view.load->slowdown);
+    sample.streams.pass = std::max(sample.streams.pass, view.load->pass);
+}
+
+// Targets whose group is not known count together until the first group of their service is.
+std::map<std::string, group_sample> sample_groups(gateway const& owner, time_point now) {
+    std::map<std::string, group_sample> samples;
+    std::map<std::string, group_sample> ungrouped; // by service
+    for (auto const& [id, view] : owner.targets) {
+        auto const& service = view.announcement.service;
+        auto const needs = owner.pass_needs.find(service);
+        if (view.announcement.state == target_phase::departed || needs == owner.pass_needs.end() ||
+            (!view.group && !needs->second.grouped)) {
+            continue;
+        }
+        auto& sample = view.group ? samples[view.group->name] : ungrouped[service];
+        sample.service = service;
+        ++sample.streams.ranks;
+        sample.streams.own += view.own_in_flight;
+        if (view.load && now - view.load->sampled_at < owner.target_selection.report_ttl) {
+            add_report(sample, view, owner.target_selection, now);
+        }
+    }
+    for (auto const& [service, sample] : ungrouped) {
+        bool const has_group = std::any_of(samples.begin(), samples.end(), [&](auto const& entry) {
+            return entry.second.service == service;
+        });
+        if (!has_group && owner.settings.policies.start_slowly) {
+            samples.emplace(ungrouped_name(service), sample);
+        }
+    }
+    return samples;
+}
+
+void log_phase(gateway& owner, std::string const& name, group_admission const& group) {
+    log_bounded(owner.loop, events::group_start_changed,
+                {{"group", name},
+                 {"phase", static_cast<int>(group.start.phase)},
+                 {"gateways", owner.census.gateways},
+                 {"limit", group.limit},
+                 {"own_limit", group.own_limit},
+                 {"running", group.streams.running},
+                 {"pass_ms", group.streams.pass.count()}});
+}
+
+void update_group(gateway& owner, std::string const& name, group_sample const& sample,
+                  time_point now) {
+    bool const is_new = !owner.groups.contains(name);
+    auto& group = owner.groups[name];
+    group.service = sample.service;
+    auto const& needs = owner.pass_needs.at(sample.service);
+    if (!owner.settings.policies.start_slowly) {
+        update_limits(group, sample.streams, needs, static_cast<unsigned>(owner.census.gateways),
+                      now);
+        return;
+    }
+    if (is_new) {
+        group.start = begin_start(next_unit(owner.random), now);
+    }
+    auto const before = group.start.phase;
+    update_started_limits(group, sample.streams, needs, owner.census, now);
+    if (is_new || group.start.phase != before) {
+        log_phase(owner, name, group);
+    }
+}
+
+bool is_short(group_admission const& group) {
+    bool const part_in_use =
+        group.start.phase == start_phase::unshared && group.start.short_of_room;
+    return group.limit <= 0 || is_busy(group) || part_in_use;
+}
+
+} // namespace
+
+bool slots_are_short(gateway const& owner, std::string const& service) {
+    return std::all_of(owner.groups.begin(), owner.groups.end(), [&](auto const& entry) {
+        return entry.second.service != service || is_short(entry.second);
+    });
+}
+
+duration slot_interval(gateway const& owner, std::string const& service) {
+    auto const flow = owner.slot_flows.find(service);
+    auto const observed = flow == owner.slot_flows.end()
+                              ? duration{}
+                              : free_slot_interval(flow->second, loop_now(owner.loop));
+    auto const needs = owner.pass_needs.find(service);
+    if (observed > duration::zero() || needs == owner.pass_needs.end()) {
+        return observed;
+    }
+    double part = 0;
+    for (auto const& [name, group] : owner.groups) {
+        bool const starts = group.service == service && group.start.phase != start_phase::none;
+        part += starts ? group.own_limit : 0;
+    }
+    return part > 0 ? expected_slot_interval(needs->second, part) : duration{};
+}
+
+void update_groups(gateway& owner) {
+    auto const now = loop_now(owner.loop);
+    auto samples = sample_groups(owner, now);
+    std::erase_if(owner.groups, [&](auto const& entry) { return !samples.contains(entry.first); });
+    for (auto& [name, sample] : samples) {
+        sample.streams.reported = sample.reporting > 0;
+        if (sample.streams.reported) {
+            sample.streams.running *= static_cast<double>(sample.streams.ranks) / sample.reporting;
+        } else if (!owner.settings.policies.start_slowly) {
+            owner.groups.erase(name);
+            continue;
+        }
+        update_group(owner, name, sample, now);
+    }
+}
+
+} // namespace fireflycrank
--- a/src/passmodel.cpp
+++ b/src/passmodel.cpp
@@ -26,6 +26,8 @@
 constexpr std::chrono::milliseconds recent_age{250};
 // Prompts that a rank reads during a long pass at high load.
 constexpr double prompts_per_pass = 1.0;
+// Half a second of passes.
+constexpr std::ptrdiff_t min_observations = 10;
 // Two changes of demand make at least this many passes long before the expert map follows.
 constexpr std::size_t peak_passes = 6;
 
@@ -58,6 +60,13 @@
     return count == 0 ? sum : sum / static_cast<double>(count);
 }
 
+bool is_usable(pass_interval const& interval, pass_requirements const& requirements,
+               time_point now) {
+    return interval.passes.size() >= min_passes && now - interval.begin <= horizon &&
+           interval.activity.streams_per_rank >= min_slot_share * requirements.slots &&
+           usual_pass(interval) < requirements.pause_target * max_pause_multiple;
+}
+
 void apply_pause_target(pass_requirements& service, double_milliseconds target) {
     bool const stricter = service.pause_target <= double_milliseconds{0} ||
                           (target > double_milliseconds{0} && target < service.pause_target);
@@ -74,6 +83,12 @@
             requirements.fixed = service.engine->step * service.engine->steps_per_pass;
             requirements.slots = service.engine->slots;
             requirements.prompt_work = prompts_per_pass * prompt_in_streams(*service.engine);
+            requirements.per_stream =
+                service.engine->step_per_sequence * service.engine->steps_per_pass;
+            requirements.grouped = service.engine->expert_sets > 0;
+            requirements.expert_fraction = service.engine->expert_fraction;
+            requirements.usual_passes = static_cast<double>(service.engine->usual_answer_tokens) /
+                                        std::max(1U, service.engine->steps_per_pass);
         }
     }
     for (auto const& route : config.routes) {
@@ -110,6 +125,14 @@
     return double_milliseconds{0};
 }
 
+bool has_observations(pass_model const& model, pass_requirements const& requirements,
+                      time_point now) {
+    auto const usable =
+        std::count_if(model.intervals.begin(), model.intervals.end(),
+                      [&](auto const& interval) { return is_usable(interval, requirements, now); });
+    return usable >= min_observations;
+}
+
 double sustainable_streams(pass_model const& model, pass_requirements const& requirements,
                            double slowdown, time_point now) {
     auto const target = requirements.pause_target * usable_pause;
@@ -120,11 +143,7 @@
     for (auto const& interval : model.intervals) {
         auto const pass = usual_pass(interval);
         auto const& [streams, slowdown_then] = interval.activity;
-        bool const usable = interval.passes.size() >= min_passes &&
-                            now - interval.begin <= horizon &&
-                            streams >= min_slot_share * requirements.slots &&
-                            pass < requirements.pause_target * max_pause_multiple;
-        if (usable) {
+        if (is_usable(interval, requirements, now)) {
             shares.push_back((pass / slowdown_then - requirements.fixed) /
                              (streams + requirements.prompt_work));
         }
--- a/src/passmodel.h
+++ b/src/passmodel.h
@@ -42,6 +42,10 @@
     double slots{0};                     ///< streams that a rank runs at most
     /// Work for the prompts that a rank reads during a pass, in streams.
     double prompt_work{0};
+    double_milliseconds per_stream{0}; ///< part of a pass for each stream on a rank, evenly spread
+    double expert_fraction{0};         ///< share of `per_stream` that experts do
+    double usual_passes{0};            ///< of a stream of usual length; 0: unknown
+    bool grouped{false};               ///< its targets are ranks of groups
 };
 
 /// Returns the requirements of each service with a model engine: the strictest of its routes.
@@ -54,6 +58,10 @@
 /// @return zero if no pass was observed lately
 double_milliseconds recent_pass(pass_model const& model, time_point now);
 
+/// Whether enough passes with enough streams were observed to tell how many streams may run.
+bool has_observations(pass_model const& model, pass_requirements const& requirements,
+                      time_point now);
+
 /// Returns the number of streams per rank at which even the longest passes of the last seconds
 /// would have stayed within the pause target. After a change in the demand for experts, passes are
 /// several times as long until the expert map follows, so the longest ones decide.
--- a/src/streamadmission.cpp
+++ b/src/streamadmission.cpp
@@ -41,15 +41,16 @@
 
 } // namespace
 
-void update_limits(group_admission& group, group_streams const& streams,
-                   pass_requirements const& requirements, unsigned gateways, time_point now) {
+namespace {
+
+void update_parts(group_admission& group, group_streams const& streams, double limit_per_rank,
+                  unsigned gateways, time_point now) {
     auto const elapsed = std::chrono::duration<double>{now - group.updated_at};
     double const newest_weight = 1.0 - std::exp(-elapsed / report_age);
     group.usual_own += newest_weight * (streams.own - group.usual_own);
     group.updated_at = now;
     group.streams = streams;
-    group.limit =
-        streams.ranks * sustainable_streams(group.passes, requirements, streams.slowdown, now);
+    group.limit = streams.ranks * limit_per_rank;
     double const equal_part = group.limit / std::max(1U, gateways);
     // What this gateway has started since the reports, others are likely to have started as well.
     double const started_since = gateways * (streams.own - group.usual_own);
@@ -63,6 +64,47 @@
     group.own_limit = group.gain * std::max(equal_part, proportional_part) + spare;
 }
 
+} // namespace
+
+void update_limits(group_admission& group, group_streams const& streams,
+                   pass_requirements const& requirements, unsigned gateways, time_point now) {
+    update_parts(group, streams,
+                 sustainable_streams(group.passes, requirements, streams.slowdown, now), gateways,
+                 now);
+}
+
+void update_started_limits(group_admission& group, group_streams const& streams,
+                           pass_requirements const& requirements, gateway_census const& census,
+                           time_point now) {
+    auto const gateways = static_cast<unsigned>(census.gateways);
+    auto& start = group.start;
+    double const ranks = std::max(1U, streams.ranks);
+    start_view view{ranks, streams.running, static_cast<double>(streams.own), streams.reported};
+    view.passes_known = has_observations(group.passes, requirements, now);
+    view.start_limit =
+        start_streams(requirements, {streams.running / ranks, streams.pass, streams.slowdown});
+    view.slots = requirements.slots;
+    view.usual_limit = sustainable_streams(group.passes, requirements, streams.slowdown, now);
+    advance_start(start, view, census, now);
+    if (start.phase == start_phase::none) {
+        if (streams.reported) {
+            update_limits(group, streams, requirements, gateways, now);
+        } else {
+            group.limit = 0; // nothing tells how many streams run
+            group.streams = streams;
+        }
+        return;
+    }
+    update_parts(group, streams, start.limit, gateways, now);
+    if (start.phase == start_phase::unshared) {
+        group.gain = 1.0;
+        constexpr double rounding = 0.5; // is_full() rounds to the nearest number of streams
+        group.own_limit = start.part + start.offset - rounding;
+    } else if (!streams.reported) {
+        group.own_limit = group.limit / std::max(1U, gateways);
+    }
+}
+
 bool is_busy(group_admission const& group) {
     constexpr double nearly_full = 0.75; // fewer streams leave slots for those that wait
     return group.streams.running > nearly_full * group.limit;
@@ -80,6 +122,7 @@
 
 void record_shortage(group_admission& group, time_point now) {
     group.short_at = now;
+    group.start.short_of_room = true;
 }
 
 bool should_hold(group_admission const& group, admission_request const& request,
--- a/src/streamadmission.h
+++ b/src/streamadmission.h
@@ -6,6 +6,7 @@
 
 #include "clock.h"
 #include "passmodel.h"
+#include "startlimit.h"
 
 #include <string>
 
@@ -15,8 +16,10 @@
 struct group_streams {
     double running{0}; ///< running or waiting at the targets, by their load reports
     unsigned ranks{0};
-    unsigned own{0};      ///< unfinished ones of this gateway
-    double slowdown{1.0}; ///< of the slowest rank; 1 at normal speed
+    unsigned own{0};             ///< unfinished ones of this gateway
+    double slowdown{1.0};        ///< of the slowest rank; 1 at normal speed
+    double_milliseconds pass{0}; ///< smoothed length of the passes, by the agents; 0: unknown
+    bool reported{true};         ///< there are load reports
 };
 
 /// A gateway's view of one group.
@@ -30,6 +33,7 @@
     double own_limit{0};   ///< streams of this gateway
     time_point short_at{}; ///< a request last found all of this gateway's part in use
     time_point updated_at{};
+    group_start start;
 };
 
 /// Recalculates the limits. To be called several times per second.
@@ -38,6 +42,11 @@
 void update_limits(group_admission& group, group_streams const& streams,
                    pass_requirements const& requirements, unsigned gateways, time_point now);
 
+/// Recalculates the limits as update_limits() does, also while the group is not well known.
+void update_started_limits(group_admission& group, group_streams const& streams,
+                           pass_requirements const& requirements, gateway_census const& census,
+                           time_point now);
+
 /// Urgency of a request for admission.
 struct admission_request {
     bool resumed{false}; ///< a stream that was interrupted after its first event
--- a/src/targetchoice.cpp
+++ b/src/targetchoice.cpp
@@ -78,6 +78,10 @@
 
 } // namespace
 
+std::string ungrouped_name(std::string const& service) {
+    return service + " (group unknown)";
+}
+
 double estimated_load(target_view const& view, choice_settings const& settings, time_point now) {
     auto const own_requests = static_cast<double>(view.own_in_flight);
     if (!view.load || now - view.load->sampled_at > settings.report_ttl) {
@@ -98,13 +102,16 @@
         std::any_of(targets.begin(), targets.end(), [&](auto const& entry) {
             return entry.second.announcement.service == service && entry.second.group;
         });
+    auto const ungrouped = filter.full_groups.empty() ? std::string{} : ungrouped_name(service);
+    bool const ungrouped_full = contains(filter.full_groups, ungrouped);
     for (auto const& [id, view] : targets) {
         bool const accepts = view.announcement.state == target_phase::ready && !view.leaving &&
                              now >= view.pauses_until;
         if (view.announcement.service != service || !accepts || !allows(filter, id)) {
             continue;
         }
-        bool const group_full = view.group && contains(filter.full_groups, view.group->name);
+        bool const group_full =
+            view.group ? contains(filter.full_groups, view.group->name) : ungrouped_full;
         scored_target candidate{&view,
                                 health(view, service_has_groups, settings, now),
                                 is_in_subset(filter, id),
@@ -147,7 +154,7 @@
     choice.suspect = chosen.health == health_level::suspect;
     choice.quiet = chosen.health == health_level::quiet;
     choice.slots = chosen.view->announcement.slots;
-    choice.group = chosen.view->group ? chosen.view->group->name : std::string{};
+    choice.group = chosen.view->group ? chosen.view->group->name : ungrouped;
     choice.group_full = chosen.group_full;
     choice.report_age = chosen.view->load ? now - chosen.view->load->sampled_at : duration{-1};
     return choice;
--- a/src/targetchoice.h
+++ b/src/targetchoice.h
@@ -22,6 +22,8 @@
     unsigned waiting{0};
     unsigned own_at_sample{0}; ///< target_view::own_in_flight when the report arrived
     double slowdown{1.0};      ///< 1 at normal speed, above 1 when the target is slow
+    /// Smoothed length of the passes of the target's group; 0: unknown.
+    std::chrono::duration<double, std::milli> pass{0};
 };
 
 /// Restricts the targets of a request.
@@ -63,6 +65,9 @@
     time_point pauses_until{};  ///< it asked this gateway to send nothing until then
 };
 
+/// Name under which the streams at targets whose group is not known yet are counted and limited.
+std::string ungrouped_name(std::string const& service);
+
 /// Weights and times of choose_target().
 struct choice_settings {
     /// A target without an announcement for this long is used only when no other is left: three
