Gateways limit groups before the calls that waited for the configuration resume

These calls, and those that were queued when the first report of a group arrived, were sent before the limits were calculated: 582 streams began in one second.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -111,6 +111,7 @@
     }
     owner.config_confirmed = confirmed && newest <= owner.config->version;
     if (owner.config_confirmed) {
+        update_groups(owner); // so that the calls that waited find the limits
         resume_calls(owner);
     }
 }
@@ -507,6 +508,10 @@
         view.group =
             group_membership{report.group, report.epoch, report.rank, report.group_open, now};
     }
+    bool const unlimited = view.group && !owner.groups.contains(view.group->name);
+    if (unlimited && owner.pass_needs.contains(view.announcement.service)) {
+        update_groups(owner);
+    }
     if (!owner.queued_calls.empty()) {
         admit_calls(owner);
     }
