--- a/tests/gateway_start_test.cpp
+++ b/tests/gateway_start_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the limits of groups in the first seconds of gateways that know nothing yet, with a
 // model of the group in place of targets.
+#include "gatewayworld.h"
 #include "rng.h"
 #include "startlimit.h"
 #include "streamadmission.h"
@@ -240,4 +241,26 @@
     CHECK(expected_slot_interval({}, 4) == duration::zero());
 }
 
+// Load pattern: calls wait when the first report names a group. Regression: they were admitted to
+// the new group before it had a limit, so most of the 582 streams of one second began at once.
+TEST_CASE("a group has a limit from its first report on") {
+    gateway_world world{{}};
+    auto& owner = world.owner;
+    auto const& view = owner.targets.at("first");
+    owner.pass_needs[view.announcement.service] = requirements();
+    update_groups(owner);
+    auto const ungrouped = owner.groups.find(ungrouped_name(view.announcement.service));
+    REQUIRE(ungrouped != owner.groups.end());
+    CHECK(ungrouped->second.own_limit < 2);
+    engine_load load;
+    load.target_id = "first";
+    load.started_at = view.announcement.started_at;
+    load.group = "g";
+    apply_engine_load(owner, load);
+    REQUIRE(owner.groups.contains("g"));
+    CHECK(owner.groups.at("g").limit > 0);
+    CHECK(owner.groups.at("g").own_limit < 2);
+    CHECK_FALSE(owner.groups.contains(ungrouped_name(view.announcement.service)));
+}
+
 } // namespace fireflycrank
