--- a/src/gatewaygroups.cpp
+++ b/src/gatewaygroups.cpp
@@ -40,12 +40,12 @@
             add_report(sample, view, owner.target_selection, now);
         }
     }
-    for (auto const& [service, sample] : ungrouped) {
-        bool const has_group = std::any_of(samples.begin(), samples.end(), [&](auto const& entry) {
-            return entry.second.service == service;
+    for (auto const& entry : ungrouped) {
+        bool const has_group = std::any_of(samples.begin(), samples.end(), [&](auto const& known) {
+            return known.second.service == entry.first;
         });
         if (!has_group && owner.settings.policies.start_slowly) {
-            samples.emplace(ungrouped_name(service), sample);
+            samples.emplace(ungrouped_name(entry.first), entry.second);
         }
     }
     return samples;
