--- a/src/coldtargets.cpp
+++ b/src/coldtargets.cpp
@@ -116,9 +116,8 @@
 }
 
 duration next_slot_interval(gateway& owner, std::string const& service) {
-    return waits_for_cold(owner, service)
-               ? owner.cold_waits.at(service).interval
-               : free_slot_interval(owner.slot_flows[service], loop_now(owner.loop));
+    return waits_for_cold(owner, service) ? owner.cold_waits.at(service).interval
+                                          : slot_interval(owner, service);
 }
 
 duration take_cold_send(gateway& owner, std::string const& target) {
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -115,6 +115,7 @@
     owner.config_confirmed = confirmed && newest <= owner.config->version &&
                              knows_evacuations(owner.subscriber, waited_enough);
     if (owner.config_confirmed) {
+        update_groups(owner); // so that the calls that waited find the limits
         resume_calls(owner);
     }
 }
@@ -461,6 +462,7 @@
         owner.retry_share.gateways =
             sharing_gateways(owner.gateway_counts, owner.subscriber, loop_now(owner.loop));
         refresh_cold_targets(owner);
+        record_census(owner.census, owner.retry_share.gateways, loop_now(owner.loop));
         confirm_config(owner);
         update_readiness(owner);
         daemon.callers->set_limits(limits_of(owner));
@@ -515,6 +517,7 @@
     shared_retry_limits.window = settings.bounds.retry_window;
     started_at = loop_now(loop);
     retry_share.process_started = started_at;
+    census.changed_at = started_at;
     // A process makes fewer reports per millisecond, so the next process starts at higher numbers.
     constexpr std::uint64_t reports_per_ms = 1'000;
     crashes.last_report_number = subscriber.self.started * reports_per_ms;
@@ -534,12 +537,16 @@
     }
     record_report(view, now);
     note_cold_target(owner, view, report.cold_left);
-    view.load =
-        load_sample{now, report.running, report.waiting, view.own_in_flight, report.slowdown};
+    view.load = load_sample{
+        now, report.running, report.waiting, view.own_in_flight, report.slowdown, report.pass_time};
     if (!report.group.empty()) {
         view.group =
             group_membership{report.group, report.epoch, report.rank, report.group_open, now};
     }
+    bool const unlimited = view.group && !owner.groups.contains(view.group->name);
+    if (unlimited && owner.pass_needs.contains(view.announcement.service)) {
+        update_groups(owner);
+    }
     if (!owner.queued_calls.empty()) {
         admit_calls(owner);
     }
