--- a/src/streamadmission.cpp
+++ b/src/streamadmission.cpp
@@ -43,8 +43,8 @@
 
 namespace {
 
-void update_parts(group_admission& group, group_streams const& streams, double limit_per_rank,
-                  unsigned gateways, time_point now) {
+void update_parts(group_admission& group, group_streams const& streams, double slots,
+                  double limit_per_rank, unsigned gateways, time_point now) {
     auto const elapsed = std::chrono::duration<double>{now - group.updated_at};
     double const newest_weight = 1.0 - std::exp(-elapsed / report_age);
     group.usual_own += newest_weight * (streams.own - group.usual_own);
@@ -52,8 +52,8 @@
     group.streams = streams;
     // A pass takes as long as all ranks need for the streams of the whole group.
     double const usable_ranks = streams.ranks - streams.unusable_ranks;
-    group.limit = std::min(usable_ranks * limit_per_rank,
-                           (usable_ranks - streams.closed_ranks) * requirements.slots);
+    group.limit =
+        std::min(usable_ranks * limit_per_rank, (usable_ranks - streams.closed_ranks) * slots);
     if (group.limit <= 0) {
         group.own_limit = 0;
         return;
@@ -75,7 +75,7 @@
 
 void update_limits(group_admission& group, group_streams const& streams,
                    pass_requirements const& requirements, unsigned gateways, time_point now) {
-    update_parts(group, streams,
+    update_parts(group, streams, requirements.slots,
                  sustainable_streams(group.passes, requirements, streams.slowdown, now), gateways,
                  now);
 }
@@ -102,7 +102,7 @@
         }
         return;
     }
-    update_parts(group, streams, start.limit, gateways, now);
+    update_parts(group, streams, requirements.slots, start.limit, gateways, now);
     if (start.phase == start_phase::unshared) {
         group.gain = 1.0;
         constexpr double rounding = 0.5; // is_full() rounds to the nearest number of streams
