--- a/scripts/day-losses.py
+++ b/scripts/day-losses.py
@@ -2,17 +2,20 @@
 """Shows second by second why streams of a played day were late or refused, from the gateways' and
 rank agents' structured logs.
 
-    scripts/day-losses.py [--by second|route|team] LOG...   lines may have a prefix before the JSON object
+    scripts/day-losses.py [--by second|route|team|prompt] LOG...   lines may have a prefix before the JSON object
 
 Columns by second: second since the first line; streams that began in it; in time; late because of a
 pause, of the first event, or of both; failed; refused attempts; streams running at the least and at
 the most; median limit of a group and streams reported to run, as gateways saw them; highest skew at a
-planned map change. By route or team: the columns up to the refused attempts.
+planned map change. By route or team: the columns up to the refused attempts. By prompt: for the
+shortest half and the longest tenth of the prompts of each route and of all, the streams, those in time
+of 100, and the median and 99th percentile of the first event and of the longest pause in milliseconds.
 """
 import argparse
 import collections
 import datetime
 import json
+import math
 import statistics
 import sys
 
@@ -58,6 +61,45 @@
     return groups
 
 
+def percentile(values, share):
+    """Returns the smallest value that `share` of the values do not exceed."""
+    ordered = sorted(values)
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)] if ordered else 0
+
+
+def summarize_streams(streams, first_event_ms, pause_ms):
+    """Returns the columns of a row by prompt."""
+    first_events = [entry["first_event_ms"] for entry in streams]
+    pauses = [entry["longest_pause_ms"] for entry in streams]
+    in_time = sum(lateness(entry, first_event_ms, pause_ms) == "in_time" for entry in streams)
+    return {"streams": len(streams), "tokens": statistics.median(entry["prompt_tokens"] for entry in streams),
+            "in_time": 100 * in_time / len(streams),
+            "first_50": percentile(first_events, 0.5), "first_99": percentile(first_events, 0.99),
+            "pause_50": percentile(pauses, 0.5), "pause_99": percentile(pauses, 0.99)}
+
+
+def compare_prompts(lines, first_event_ms, pause_ms, begin=0, end=math.inf):
+    """Returns rows for the shortest half and the longest tenth of the prompts, by route and for all.
+
+    Counts the streams with an event that began `begin` to `end` seconds after the first line."""
+    routes = collections.defaultdict(list)
+    origin = None
+    for time, entry in entries(lines):
+        origin = time if origin is None else origin
+        began = time - origin - entry.get("took_ms", 0) / 1000
+        ends_stream = entry.get("event") in (ANSWERED, FAILED, ABANDONED) and "first_event_ms" in entry
+        if ends_stream and entry.get("prompt_tokens", 0) > 0 and begin <= began < end:
+            routes[entry.get("route", "")].append(entry)
+            routes["all"].append(entry)
+    rows = {}
+    for route, streams in routes.items():
+        streams.sort(key=lambda entry: entry["prompt_tokens"])
+        shortest, longest = streams[: math.ceil(len(streams) / 2)], streams[-math.ceil(len(streams) / 10):]
+        rows[f"{route} shortest half"] = summarize_streams(shortest, first_event_ms, pause_ms)
+        rows[f"{route} longest tenth"] = summarize_streams(longest, first_event_ms, pause_ms)
+    return rows
+
+
 def attribute(lines, first_event_ms, pause_ms):
     """Returns counters by second."""
     seconds = collections.defaultdict(collections.Counter)
@@ -87,6 +129,7 @@
 
 
 OUTCOMES = ["streams", "in_time", "pause", "first", "both", "failed", "refused"]
+PROMPT_COLUMNS = ["streams", "tokens", "in_time", "first_50", "first_99", "pause_50", "pause_99"]
 COLUMNS = [*OUTCOMES, "least", "most", "limit", "reported", "skew"]
 
 
@@ -102,7 +145,9 @@
     parser.add_argument("logs", nargs="+", metavar="LOG")
     parser.add_argument("--first-event-ms", type=float, default=400, help="objective for the first event")
     parser.add_argument("--pause-ms", type=float, default=120, help="longest pause that is still in time")
-    parser.add_argument("--by", choices=["second", "route", "team"], default="second", help="what a row stands for")
+    parser.add_argument("--by", choices=["second", "route", "team", "prompt"], default="second", help="what a row stands for")
+    parser.add_argument("--begin", type=float, default=0, metavar="S", help="by prompt: streams from this second on")
+    parser.add_argument("--end", type=float, default=math.inf, metavar="S", help="by prompt: streams before it")
     options = parser.parse_args()
     lines = []
     for path in options.logs:
@@ -111,6 +156,9 @@
     lines.sort(key=lambda line: line[line.find('{"time"'):][:40])
     if options.by == "second":
         print_table("second", COLUMNS, attribute(lines, options.first_event_ms, options.pause_ms))
+    elif options.by == "prompt":
+        rows = compare_prompts(lines, options.first_event_ms, options.pause_ms, options.begin, options.end)
+        print_table("prompts", PROMPT_COLUMNS, rows)
     else:
         groups = attribute_by(options.by, lines, options.first_event_ms, options.pause_ms)
         print_table(options.by, OUTCOMES, groups)
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -604,6 +604,7 @@
                                       {"attempt", sends_},
                                       {"target", target_id_},
                                       {"parts", describe_parts(headers_.prompt)},
+                                      {"prompt_tokens", headers_.prompt_tokens},
                                       {"load", choice.load},
                                       {"slots", choice.slots},
                                       {"report_age_ms", in_millis(choice.report_age)},
@@ -1349,6 +1350,7 @@
                                       {"reason", reason},
                                       {"attempts", sends_},
                                       {"target", target_id_},
+                                      {"prompt_tokens", headers_.prompt_tokens},
                                       {"took_ms", in_millis(now - request_.first_byte_at)}};
         if (!quarantined_part_.empty()) {
             fields.emplace_back("part", quarantined_part_);
--- a/tests/day_losses_test.py
+++ b/tests/day_losses_test.py
@@ -58,6 +58,23 @@
         self.assertEqual(routes["r-b"], {"refused": 1})
         self.assertNotIn("r-c", routes)
 
+    # A delay of one kind of prompt must not be averaged away by the other, nor by calm seconds.
+    def test_short_and_long_prompts_are_apart(self):
+        def prompt(second, tokens, first_event_ms, route):
+            return line(second, 713, took_ms=1000, first_event_ms=first_event_ms, longest_pause_ms=80,
+                        prompt_tokens=tokens, route=f'"{route}"')
+
+        lines = [line(0, 701, seeds=1)]
+        lines += [prompt(2 + number / 100, 100 + number, 200 + number, "r-a") for number in range(9)]
+        lines += [prompt(2.5, 3000, 450, "r-a"), prompt(9, 50, 4000, "r-a"), prompt(2.6, 700, 300, "r-b")]
+        lines += [line(2.7, 713, took_ms=10, status=200), line(2.8, 714, took_ms=10, prompt_tokens=900)]
+        rows = day_losses.compare_prompts(lines, 400, 120, 0, 5)
+        shortest, longest = rows["r-a shortest half"], rows["r-a longest tenth"]
+        self.assertEqual((shortest["streams"], shortest["first_50"], shortest["first_99"]), (5, 202, 204))
+        self.assertEqual((shortest["in_time"], longest["in_time"]), (100, 0))
+        self.assertEqual((longest["streams"], longest["tokens"], longest["first_99"]), (1, 3000, 450))
+        self.assertEqual(rows["all longest tenth"]["streams"], 2)
+
     def test_a_log_without_streams_gives_no_rows(self):
         self.assertEqual(day_losses.attribute([], 400, 120), {})
 
