Compare targets by the prompts that they still have to read

A target reads prompts one after the other, so a short one behind a long one waits for all of it; counted in requests, both look alike. The excess over prompts of the usual length now adds to a target's load in the choice, and a long prompt is held earlier while passes are long, for no longer than its own objective allows. The switch is weigh_prompts.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -91,6 +91,9 @@
                  {"routes", decoded.value().routes.size()}});
     owner.config = std::make_shared<service_config const>(std::move(decoded).value());
     owner.pass_needs = pass_requirements_of(*owner.config);
+    if (owner.settings.policies.weigh_prompts) {
+        owner.prompt_readings = prompt_readings_of(*owner.config, owner.prompt_readings);
+    }
     std::erase_if(owner.run_history, [&](auto const& entry) {
         auto const& [name, service] = entry.first;
         return !is_used(*owner.config, name, service);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -74,11 +74,12 @@
     time_point started_at{};
 
     std::set<std::shared_ptr<gateway_call>> calls;
-    std::map<std::string, service_outage> outages;       ///< by service
-    std::map<std::string, group_admission> groups;       ///< by name of the group
-    std::map<std::string, pass_requirements> pass_needs; ///< by service
-    std::map<std::string, slot_flow> slot_flows;         ///< by service
-    std::map<std::string, return_plan> return_plans;     ///< by service
+    std::map<std::string, service_outage> outages;         ///< by service
+    std::map<std::string, group_admission> groups;         ///< by name of the group
+    std::map<std::string, pass_requirements> pass_needs;   ///< by service
+    std::map<std::string, prompt_reading> prompt_readings; ///< by service; empty if not weighed
+    std::map<std::string, slot_flow> slot_flows;           ///< by service
+    std::map<std::string, return_plan> return_plans;       ///< by service
     std::map<std::pair<std::string, std::string>, run_lengths>
         run_history; ///< by route and service
     time_limit_history time_limits;
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -252,6 +252,7 @@
         route_timeout_ = route.timeout;
         latency_objective_ = route.target_latency;
         service_ = pick_service(route, next_unit(owner_.random));
+        record_prompt(owner_.prompt_readings, service_, headers_.prompt_tokens);
         count_request(owner_.retry_windows[service_], owner_.shared_retry_limits,
                       request_.first_byte_at);
         fingerprint_ = call_fingerprint({headers_.host, request_.head.method, request_.head.target,
@@ -438,6 +439,7 @@
         if (progress_.kind == call_kind::stream && owner_.settings.policies.limit_streams) {
             filter.full_groups = full_groups();
         }
+        filter.reading = find_reading(owner_.prompt_readings, service_);
         return choose_target(owner_.targets, service_, owner_.settings.zone, filter,
                              owner_.target_selection, owner_.random, loop_now(owner_.loop));
     }
@@ -470,7 +472,8 @@
     }
 
     [[nodiscard]] admission_request admission_need() const {
-        return {progress_.answer_started, latest_send_time() - loop_now(owner_.loop)};
+        return {progress_.answer_started, latest_send_time() - loop_now(owner_.loop),
+                excess_of(find_reading(owner_.prompt_readings, service_), headers_.prompt_tokens)};
     }
 
     // State of the group that the request was sent to; empty if it has none.
@@ -580,6 +583,7 @@
         auto& chosen = owner_.targets.at(target_id_);
         sent_to_ = {chosen.announcement.address, chosen.announcement.started_at, chosen.group};
         ++chosen.own_in_flight;
+        add_prompt(chosen.prompts, {headers_.prompt_tokens, now});
         holds_slot_ = true;
         group_name_ = chosen.group ? chosen.group->name : std::string{};
         if (auto const group = owner_.groups.find(group_name_); group != owner_.groups.end()) {
@@ -753,6 +757,9 @@
         if (events.empty()) {
             return;
         }
+        if (auto* const known = current_target()) {
+            remove_prompt(known->prompts, {headers_.prompt_tokens, sent_at_});
+        }
         if (!progress_.answer_started) {
             progress_.answer_started = true;
             first_event_at_ = loop_now(owner_.loop);
@@ -787,6 +794,7 @@
         }
         holds_slot_ = false;
         if (auto* const known = current_target()) {
+            remove_prompt(known->prompts, {headers_.prompt_tokens, sent_at_});
             release_run(*known, owner_.target_selection, loop_now(owner_.loop));
         }
         if (auto const group = owner_.groups.find(group_name_); group != owner_.groups.end()) {
--- a/src/policysettings.cpp
+++ b/src/policysettings.cpp
@@ -27,6 +27,7 @@
     policy_field{"follow_subset", &policy_settings::follow_subset},
     policy_field{"avoid_failing", &policy_settings::avoid_failing},
     policy_field{"retry_failed", &policy_settings::retry_failed},
+    policy_field{"weigh_prompts", &policy_settings::weigh_prompts},
     policy_field{"plan_early", &policy_settings::plan_early},
 };
 
--- a/src/policysettings.h
+++ b/src/policysettings.h
@@ -22,6 +22,7 @@
     bool follow_subset{true};     ///< prefer a different subset of the targets at each gateway
     bool avoid_failing{true};     ///< prefer other targets after one has answered with a failure
     bool retry_failed{true};      ///< run a harmless request again after a failure
+    bool weigh_prompts{true};     ///< compare targets by the prompts that they still have to read
     bool plan_early{true};        ///< plan an expert map on the first passes after a sudden change
 };
 
--- a/src/serviceconfig.h
+++ b/src/serviceconfig.h
@@ -55,6 +55,9 @@
     std::chrono::duration<double, std::milli> step{0};              ///< of one token step
     std::chrono::duration<double, std::milli> step_per_sequence{0}; ///< for each running request
     double read_tokens_per_second{0};
+    unsigned read_tokens_per_step{0}; ///< at most; 0: no limit
+    /// Added to the reading for each million pairs of a token and an earlier one.
+    std::chrono::duration<double, std::milli> read_million_pairs{0};
     unsigned usual_prompt_tokens{0};
     unsigned usual_answer_tokens{0};
     unsigned expert_sets{0}; ///< 0: no expert groups
--- a/src/streamadmission.cpp
+++ b/src/streamadmission.cpp
@@ -84,12 +84,15 @@
 
 bool should_hold(group_admission const& group, admission_request const& request,
                  pass_requirements const& requirements, time_point now) {
-    bool const tight = request.slack >= duration::zero() && request.slack < min_hold_slack;
+    auto const slack = double_milliseconds{request.slack} - request.prompt.first_event;
+    bool const tight = request.slack >= duration::zero() && slack < min_hold_slack;
     bool const has_target = requirements.pause_target > double_milliseconds{0};
     if (request.resumed || tight || !has_target || !is_busy(group)) {
         return false;
     }
-    return recent_pass(group.passes, now) > hold_share * requirements.pause_target;
+    auto const pass = recent_pass(group.passes, now);
+    return pass > double_milliseconds{0} &&
+           pass + request.prompt.of_pass > hold_share * requirements.pause_target;
 }
 
 } // namespace fireflycrank
--- a/src/streamadmission.h
+++ b/src/streamadmission.h
@@ -6,6 +6,7 @@
 
 #include "clock.h"
 #include "passmodel.h"
+#include "promptwork.h"
 
 #include <string>
 
@@ -42,6 +43,7 @@
 struct admission_request {
     bool resumed{false}; ///< a stream that was interrupted after its first event
     duration slack{};    ///< time left to send it in order to meet its objective; negative if late
+    prompt_excess prompt{};
 };
 
 /// Whether the group runs nearly as many streams as it may, so that waiting requests depend on the
@@ -55,7 +57,8 @@
 void record_shortage(group_admission& group, time_point now);
 
 /// Whether a stream with time to spare should wait because the present passes of a busy group are
-/// too long. Each prompt would lengthen them further.
+/// too long. Each prompt would lengthen them further, a long one more; it also needs more time to
+/// meet its own objective.
 bool should_hold(group_admission const& group, admission_request const& request,
                  pass_requirements const& requirements, time_point now);
 
--- a/src/targetchoice.cpp
+++ b/src/targetchoice.cpp
@@ -61,6 +61,20 @@
            std::binary_search(filter.subset->begin(), filter.subset->end(), id);
 }
 
+// Load by which a target is compared with others, the prompts included that it still has to read.
+double compared_load(target_view const& view, double load, double slowdown,
+                     target_filter const& filter, choice_settings const& settings, time_point now) {
+    if (filter.reading == nullptr || view.prompts.empty()) {
+        return load;
+    }
+    bool const waits =
+        view.load && view.load->waiting > 0 && now - view.load->sampled_at <= settings.report_ttl;
+    target_activity const activity{load, slowdown, waits ? view.load->sampled_at : time_point{}};
+    auto const excess = excess_wait(view.prompts, *filter.reading, activity, now);
+    auto const room = unhurried_slot_share * static_cast<double>(view.announcement.slots);
+    return weighed_load(load, room, excess, *filter.reading);
+}
+
 struct scored_target {
     target_view const* view{nullptr};
     health_level health{health_level::healthy};
@@ -118,7 +132,8 @@
             std::max(1.0, found == slowdowns.end() ? own_slowdown : found->second);
         auto const zone_penalty =
             view.announcement.zone == zone ? 0.0 : settings.cross_zone_penalty;
-        candidate.cost = ((candidate.load + 1.0) * slowdown + zone_penalty) / slots;
+        auto const load = compared_load(view, candidate.load, slowdown, filter, settings, now);
+        candidate.cost = ((load + 1.0) * slowdown + zone_penalty) / slots;
         scored.push_back(candidate);
     }
     target_choice choice;
--- a/src/targetchoice.h
+++ b/src/targetchoice.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "clock.h"
+#include "promptwork.h"
 #include "rng.h"
 #include "targetdirectory.h"
 
@@ -33,6 +34,8 @@
     std::vector<std::string> const* subset{nullptr};
     /// Groups in which no further stream may start; other targets are preferred.
     std::vector<std::string> full_groups;
+    /// How the service's targets read prompts; null: targets are compared by their requests alone.
+    prompt_reading const* reading{nullptr};
 };
 
 /// A target's membership in a group of ranks that run each forward pass together.
@@ -59,6 +62,7 @@
     unsigned consecutive_errors{0};
     time_point suspect_until{}; ///< other targets are preferred until then, less strongly
     bool responsive{true};      ///< false: it does not answer its agent
+    prompt_backlog prompts;     ///< sent by this gateway and not answered yet
     bool leaving{false};        ///< this incarnation said in a response that it is about to end
     time_point pauses_until{};  ///< it asked this gateway to send nothing until then
 };
