--- a/tests/gateway_platform_test.cpp
+++ b/tests/gateway_platform_test.cpp
@@ -27,7 +27,7 @@
    "timeout_ms":800,"service":"b","max_attempts":1,"public":true}],
  "services":[{"name":"a","health_check_path":"/healthz","max_connections":418,
    "inference_engine":{"slots":12,"expert_sets":6,"experts":64,"placements":11,"spare_count":4,
-     "usual":{"prompt":835,"answer":159}}},{"name":"b"}],
+     "chunk":512,"pairs_per_m":0.5,"usual":{"prompt":835,"answer":159}}},{"name":"b"}],
  "limits":{"max_header_bytes":1000,"idle_timeout_ms":15000},
  "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1},{"name":"t2","api_keys":["k3"]}]})";
 
@@ -71,6 +71,8 @@
     CHECK(find_team(config, "k2")->name == "t1");
     CHECK(find_team(config, "k9") == nullptr);
     CHECK(find_service(config, "a")->engine->expert_sets == 6);
+    CHECK(find_service(config, "a")->engine->read_tokens_per_step == 512);
+    CHECK(find_service(config, "a")->engine->read_million_pairs.count() == 0.5);
     CHECK(config.limits.header_bytes == 1'000);
     CHECK(pick_service(*stream, 0.89) == "a");
     CHECK(pick_service(*stream, 0.91) == "b");
