--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -259,6 +259,7 @@
         access_.route_regions = route.regions;
         latency_objective_ = route.target_latency;
         service_ = pick_service(route, next_unit(owner_.random));
+        record_prompt(owner_.prompt_readings, service_, headers_.prompt_tokens);
         count_request(owner_.retry_windows[service_], owner_.shared_retry_limits,
                       request_.first_byte_at);
         fingerprint_ = call_fingerprint({headers_.host, request_.head.method, request_.head.target,
@@ -446,6 +447,7 @@
         if (progress_.kind == call_kind::stream && owner_.settings.policies.limit_streams) {
             filter.full_groups = full_groups();
         }
+        filter.reading = find_reading(owner_.prompt_readings, service_);
         return choose_target(owner_.targets, service_, owner_.settings.zone, filter,
                              owner_.target_selection, owner_.random, loop_now(owner_.loop));
     }
@@ -490,7 +492,8 @@
     }
 
     [[nodiscard]] admission_request admission_need() const {
-        return {progress_.answer_started, latest_send_time() - loop_now(owner_.loop)};
+        return {progress_.answer_started, latest_send_time() - loop_now(owner_.loop),
+                excess_of(find_reading(owner_.prompt_readings, service_), headers_.prompt_tokens)};
     }
 
     // State of the group that the request was sent to; empty if it has none.
@@ -601,6 +604,7 @@
         sent_to_ = {chosen.announcement.address, chosen.announcement.started_at, chosen.group};
         ++chosen.own_in_flight;
         record_cold_send(chosen.cold, owner_.cold_pace, now);
+        add_prompt(chosen.prompts, {headers_.prompt_tokens, now});
         holds_slot_ = true;
         group_name_ = chosen.group ? chosen.group->name : ungrouped_name(service_);
         if (auto const group = owner_.groups.find(group_name_); group != owner_.groups.end()) {
@@ -626,6 +630,7 @@
                                       {"attempt", sends_},
                                       {"target", target_id_},
                                       {"parts", describe_parts(headers_.prompt)},
+                                      {"prompt_tokens", headers_.prompt_tokens},
                                       {"load", choice.load},
                                       {"slots", choice.slots},
                                       {"report_age_ms", in_millis(choice.report_age)},
@@ -790,6 +795,9 @@
         if (events.empty()) {
             return;
         }
+        if (auto* const known = current_target()) {
+            remove_prompt(known->prompts, {headers_.prompt_tokens, sent_at_});
+        }
         if (!progress_.answer_started) {
             progress_.answer_started = true;
             first_event_at_ = loop_now(owner_.loop);
@@ -824,6 +832,7 @@
         }
         holds_slot_ = false;
         if (auto* const known = current_target()) {
+            remove_prompt(known->prompts, {headers_.prompt_tokens, sent_at_});
             release_run(*known, owner_.target_selection, loop_now(owner_.loop));
         }
         if (auto const group = owner_.groups.find(group_name_); group != owner_.groups.end()) {
@@ -1400,6 +1409,7 @@
                                       {"reason", reason},
                                       {"attempts", sends_},
                                       {"target", target_id_},
+                                      {"prompt_tokens", headers_.prompt_tokens},
                                       {"took_ms", in_millis(now - request_.first_byte_at)}};
         if (!quarantined_part_.empty()) {
             fields.emplace_back("part", quarantined_part_);
