--- a/tests/gateway_prompts_test.cpp
+++ b/tests/gateway_prompts_test.cpp
@@ -261,7 +261,7 @@
         return choose_target(views, "s", "", filter, {}, random, at_ms(ms));
     };
     CHECK(choose(50).id == "t2");
-    CHECK(choose(50).load == 4); // the limit on streams counts requests
+    CHECK(choose(50).load == 4);     // the limit on streams counts requests
     CHECK(choose(1'000).id == "t1"); // read by now at the declared rate
     // A report shows that requests still wait there: it reads more slowly than declared.
     views.at("t1").load = load_sample{at_ms(900), 0, 1, 1, 1.0};
