--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -102,6 +102,16 @@
     });
 }
 
+// Whether some service declares cold targets. Only for these are groups limited before they are
+// known; see startlimit.h.
+bool has_cold_targets(gateway const& owner) {
+    return owner.config != nullptr &&
+           std::any_of(owner.config->services.begin(), owner.config->services.end(),
+                       [](served_service const& service) {
+                           return service.cold_rate > 0 || service.cold_time > duration::zero();
+                       });
+}
+
 void confirm_config(gateway& owner) {
     if (owner.config == nullptr || owner.config_confirmed) {
         return;
@@ -118,7 +128,9 @@
     owner.config_confirmed = confirmed && newest <= owner.config->version &&
                              knows_evacuations(owner.subscriber, waited_enough);
     if (owner.config_confirmed) {
-        update_groups(owner); // so that the calls that waited find the limits
+        if (has_cold_targets(owner)) {
+            update_groups(owner); // so that the calls that waited find the limits
+        }
         resume_calls(owner);
     }
 }
@@ -547,7 +559,8 @@
             group_membership{report.group, report.epoch, report.rank, report.group_open, now};
     }
     bool const unlimited = view.group && !owner.groups.contains(view.group->name);
-    if (unlimited && owner.pass_needs.contains(view.announcement.service)) {
+    if (unlimited && has_cold_targets(owner) &&
+        owner.pass_needs.contains(view.announcement.service)) {
         update_groups(owner);
     }
     if (!owner.queued_calls.empty()) {
--- a/tests/gateway_start_test.cpp
+++ b/tests/gateway_start_test.cpp
@@ -279,6 +279,8 @@
     load.started_at = view.announcement.started_at;
     load.group = "g";
     apply_engine_load(owner, load);
+    CHECK(owner.groups.empty()); // until the next sweep
+    update_groups(owner);
     REQUIRE(owner.groups.contains("g"));
     CHECK(owner.groups.at("g").start.phase == start_phase::none);
     CHECK(owner.groups.at("g").limit == requirements().slots);
