Start: gateways use what they know of the others and of group sizes

Gateways that already know all 27 keep a hundredth of the limit for 0.85 s; the first report of a group limits it as if it had one rank; cold targets get a fifth of their rate, for 128 assumed gateways.

Change: the size of a group counts from its first report on; a number of gateways that has not changed for 0.25 s gives a part; a gateway that is listed among 16 or more assumes three times as many, at most 128. Also: the peak of guard_urgent begins a third above the median, so that services whose demand changes often keep their limit.

--- a/src/coldpace.cpp
+++ b/src/coldpace.cpp
@@ -15,7 +15,11 @@
 constexpr unsigned max_bundles = 256;
 // Gateways of the largest deployments. While a gateway does not know the others, it assumes so
 // many.
-constexpr std::uint64_t assumed_gateways = 128;
+constexpr std::uint64_t most_gateways = 128;
+// Once it is listed among many, it assumes this multiple of them: in a zone that is cut off, a
+// third of the gateways are listed. A few may be the first of many.
+constexpr std::uint64_t unlisted_factor = 3;
+constexpr std::uint64_t many_gateways = 16;
 // A set that was not updated for this long may lack what the registrars listed meanwhile.
 constexpr std::chrono::seconds max_update_gap{1};
 // Interval between a gateway's first requests to a cold target, as a part of its even interval.
@@ -46,18 +50,28 @@
         gateways.known_since.reset();
         return;
     }
-    gateways.known_since = gateways.known_since.value_or(now);
+    if (!gateways.known_since) {
+        gateways.known_since = now;
+        ++gateways.revision;
+    }
     if (now - *gateways.known_since >= settings.settling_time) {
         gateways.settled = true;
         ++gateways.revision;
     }
 }
 
+std::uint64_t assumed_gateways(gateway_set const& gateways) {
+    std::uint64_t const listed = gateways.listed_at.size() + 1;
+    bool const known = gateways.known_since && listed >= many_gateways;
+    return known ? std::min(unlisted_factor * listed, most_gateways) : most_gateways;
+}
+
 // The part of a gateway that does not know the others: a request of its own to so many of the
 // targets that all gateways together hardly exceed the rate at any of them, whoever they are.
 unsigned unsettled_part(gateway_set const& gateways, std::string const& target, unsigned requests) {
-    auto const draw = mix(hash64(gateways.self) ^ mix(hash64(target)));
-    return draw % assumed_gateways < requests ? 1 : 0;
+    // The draw stays the same, so that a gateway keeps its targets when it assumes fewer others.
+    rng draw{hash64(gateways.self) ^ mix(hash64(target))};
+    return next_unit(draw) * static_cast<double>(assumed_gateways(gateways)) < requests ? 1 : 0;
 }
 
 std::size_t sends_since(cold_state const& state, time_point begin) {
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -558,8 +558,8 @@
     view.load = load_sample{
         now, report.running, report.waiting, view.own_in_flight, report.slowdown, report.pass_time};
     if (!report.group.empty()) {
-        view.group =
-            group_membership{report.group, report.epoch, report.rank, report.group_open, now};
+        view.group = group_membership{report.group,      report.epoch, report.rank,
+                                      report.group_open, now,          report.group_size};
     }
     bool const unlimited = view.group && !owner.groups.contains(view.group->name);
     if (unlimited && has_cold_targets(owner) &&
--- a/src/gatewaygroups.cpp
+++ b/src/gatewaygroups.cpp
@@ -2,6 +2,7 @@
 #include "gateway.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 namespace fireflycrank {
@@ -11,6 +12,7 @@
 struct group_sample {
     group_streams streams;
     unsigned reporting{0};
+    unsigned size{0}; ///< ranks of the group, as its agents say; 0: unknown
     std::string service;
 };
 
@@ -44,6 +46,7 @@
         }
         auto& sample = view.group ? samples[view.group->name] : ungrouped[service];
         sample.service = service;
+        sample.size = std::max(sample.size, view.group ? view.group->size : 0U);
         ++sample.streams.ranks;
         bool const closed = owner.subscriber.evacuations.zones.contains(view.announcement.zone);
         sample.streams.closed_ranks += closed ? 1 : 0;
@@ -64,6 +67,19 @@
     return samples;
 }
 
+// The first reports name the group of a few targets only. Its other ranks are taken to be like
+// these, since a limit for few ranks would end the admission until all have reported.
+void complete_ranks(group_sample& sample) {
+    auto& streams = sample.streams;
+    if (streams.ranks == 0 || sample.size <= streams.ranks) {
+        return;
+    }
+    double const scale = static_cast<double>(sample.size) / streams.ranks;
+    streams.closed_ranks = static_cast<unsigned>(std::lround(streams.closed_ranks * scale));
+    streams.unusable_ranks *= scale;
+    streams.ranks = sample.size;
+}
+
 void log_phase(gateway& owner, std::string const& name, group_admission const& group) {
     log_bounded(owner.loop, events::group_start_changed,
                 {{"group", name},
@@ -132,6 +148,9 @@
     auto samples = sample_groups(owner, now);
     std::erase_if(owner.groups, [&](auto const& entry) { return !samples.contains(entry.first); });
     for (auto& [name, sample] : samples) {
+        if (starts_slowly(owner, sample.service)) {
+            complete_ranks(sample);
+        }
         sample.streams.reported = sample.reporting > 0;
         if (sample.streams.reported) {
             sample.streams.running *= static_cast<double>(sample.streams.ranks) / sample.reporting;
--- a/src/passmodel.cpp
+++ b/src/passmodel.cpp
@@ -33,6 +33,8 @@
 constexpr std::size_t peak_passes = 6;
 // A single change makes at least this many passes long.
 constexpr std::size_t min_peak_passes = 3;
+// Passes of a change differ from the usual one by more than this part of the largest difference.
+constexpr double peak_threshold = 1.0 / 3;
 
 // The median, because lost packets delay the events of single streams.
 double_milliseconds usual_pass(pass_interval const& interval) {
@@ -51,13 +53,13 @@
     return prompt / stream;
 }
 
-// Number of values that belong to changes of demand: those nearer to the largest one than to the
-// usual one.
+// Number of values that belong to changes of demand, which differ in size.
 std::size_t count_peak(std::vector<double_milliseconds> const& descending) {
     if (descending.empty()) {
         return 0;
     }
-    auto const between = (descending.front() + descending[descending.size() / 2]) / 2;
+    auto const usual = descending[descending.size() / 2];
+    auto const between = usual + peak_threshold * (descending.front() - usual);
     auto const end =
         std::find_if(descending.begin(), descending.end(),
                      [&](double_milliseconds const& value) { return value < between; });
--- a/src/startlimit.cpp
+++ b/src/startlimit.cpp
@@ -17,6 +17,10 @@
 constexpr double short_pass_share = 0.7;
 // A part of this size times the largest number of gateways is about the limit.
 constexpr double first_part_divisor = 100;
+// Gateways that start together appear in the registrars' lists within half a second. A number that
+// has not changed for this long is nearly complete, and the margin allows for those that are late.
+constexpr std::chrono::milliseconds census_pauses_for{250};
+constexpr double census_margin = 1.5;
 // Longer than the oldest load reports, so that they show what the round has begun.
 constexpr std::chrono::milliseconds round_length{600};
 // Gateways that start together do so within half a second; until the reports show all of them,
@@ -143,6 +147,10 @@
         return;
     }
     start.first_part = limit / first_part_divisor;
+    if (census.gateways > 1 && now - census.changed_at >= census_pauses_for) {
+        start.first_part = std::max(start.first_part,
+                                    limit / (census_margin * static_cast<double>(census.gateways)));
+    }
     start.part = std::max(start.part, start.first_part);
     bool const is_first = start.round_begun == start.begun;
     if (now - start.round_begun >= (is_first ? first_round_length : round_length)) {
--- a/src/targetchoice.h
+++ b/src/targetchoice.h
@@ -50,6 +50,7 @@
     unsigned rank{0};
     bool open{true};
     time_point reported_at{};
+    unsigned size{0}; ///< ranks of the group; 0: unknown
 };
 
 /// What a gateway knows of a target.
--- a/tests/gateway_cold_test.cpp
+++ b/tests/gateway_cold_test.cpp
@@ -301,6 +301,36 @@
     CHECK(part() == 26); // the other one has ended
 }
 
+// Load pattern: a power cut of all VMs. All gateways start together, all targets are cold, and
+// callers wait. Failure: until the gateways settle, which takes as long as targets are cold, they
+// use a fifth of the rate; or more than the bound, since none has a part of its own.
+TEST_CASE("gateways that start together use a quarter of the rate before they have parts") {
+    for (std::size_t const count : {27, 97}) {
+        CAPTURE(count);
+        cold_model model{0};
+        model.cold_at_ms = 0;
+        model.targets.clear();
+        for (unsigned number = 0; number < 30; ++number) {
+            model.targets.push_back("t" + std::to_string(number));
+        }
+        for (std::size_t number = 0; number < count; ++number) {
+            auto const begin = static_cast<std::int64_t>(next_below(model.random, 300));
+            model.add("g" + std::to_string(number), {begin, never_ms});
+        }
+        model.run(9'000);
+        CHECK(model.most({0, never_ms}) <= bound);
+        constexpr span_ms listed{1'500, 3'400};
+        std::size_t sent = 0;
+        for (auto const& [id, times] : model.arrivals) {
+            sent += static_cast<std::size_t>(std::count_if(
+                times.begin(), times.end(), [&](auto ms) { return listed.contains(ms); }));
+        }
+        double const seconds = static_cast<double>(listed.end - listed.begin) / 1'000;
+        CHECK(static_cast<double>(sent) >=
+              0.25 * rate * seconds * static_cast<double>(model.targets.size()));
+    }
+}
+
 // Failure: a target that has just started draws the crowd because it looks idle; one whose part is
 // used up is chosen because no other is left.
 TEST_CASE("cold targets are chosen late, and not beyond this gateway's part") {
--- a/tests/gateway_start_test.cpp
+++ b/tests/gateway_start_test.cpp
@@ -53,6 +53,9 @@
         }
     }
 
+    // The registrars' lists, empty before, name all gateways from this moment on.
+    void list_all_at(std::int64_t ms) { listed_at_ms_ = ms; }
+
     // The first gateway starts again while the others run and the engines tell their passes.
     void restart_first(std::int64_t ms) {
         for (auto& gateway : gateways_) {
@@ -129,6 +132,11 @@
         gateway_census census{
             std::max<std::uint64_t>(1, std::min<std::uint64_t>(all, all * since / settled)),
             at_ms(std::min(ms, gateway.starts_ms + static_cast<std::int64_t>(settled)))};
+        if (listed_at_ms_ > 0) {
+            auto const known_at = std::max(listed_at_ms_, gateway.starts_ms);
+            census = ms < listed_at_ms_ ? gateway_census{1, at_ms(gateway.starts_ms)}
+                                        : gateway_census{all, at_ms(known_at)};
+        }
         if (gateway.knows_all || gateway.starts_ms >= restarted_ms) {
             census = {all, at_ms(gateway.knows_all ? ms - 5'000 : gateway.starts_ms)};
         }
@@ -141,6 +149,7 @@
     std::vector<double> history_;
     double arrivals_{0};
     double_milliseconds reported_pass_{0};
+    std::int64_t listed_at_ms_{0}; // 0: the lists fill gradually
     rng random_{7};
 };
 
@@ -181,6 +190,27 @@
     }
 }
 
+// Load pattern: after a power cut the registrars start before the gateways, so that their lists are
+// complete 0.4 s later. Regression: each gateway kept a hundredth of the limit for 0.85 s all the
+// same, and two callers in three were refused meanwhile.
+TEST_CASE("gateways that know each other use half of the limit within a second") {
+    for (unsigned const gateways : {8U, 27U, 97U}) {
+        CAPTURE(gateways);
+        starting_group group{gateways, 24, 300};
+        group.list_all_at(400);
+        double highest = 0;
+        for (std::int64_t ms = 0; ms < 4'000; ms += tick_ms) {
+            group.step(ms);
+            double const filled = group.limit() > 0 ? group.running() / group.limit() : 0;
+            highest = std::max(highest, filled);
+            if (ms == 1'000 - tick_ms) {
+                CHECK(filled > 0.5);
+            }
+        }
+        CHECK(highest < 1.1);
+    }
+}
+
 // Load pattern: one of 27 gateways restarts in a full group. It must get its part without pushing
 // the group over its limit.
 TEST_CASE("a gateway that starts among many gets its part within two seconds") {
@@ -274,6 +304,32 @@
     CHECK_FALSE(owner.groups.contains(ungrouped_name(view.announcement.service)));
 }
 
+// Load pattern: the first report names the group of one target only. Regression: the limit was that
+// of a group of one rank, so nearly all calls were refused until the other ranks had reported.
+TEST_CASE("a group has the limit of all its ranks from its first report on") {
+    gateway_world world{{}};
+    auto& owner = world.owner;
+    auto const& view = owner.targets.at("first");
+    owner.pass_needs[view.announcement.service] = requirements();
+    auto config = *owner.config;
+    config.services.front().cold_time = std::chrono::milliseconds{1};
+    owner.config = std::make_shared<service_config const>(std::move(config));
+    constexpr unsigned ranks = 24;
+    engine_load load;
+    load.target_id = "first";
+    load.started_at = view.announcement.started_at;
+    load.group = "g";
+    load.group_size = ranks;
+    apply_engine_load(owner, load);
+    REQUIRE(owner.groups.contains("g"));
+    CHECK(owner.groups.at("g").streams.ranks == ranks);
+    CHECK(owner.groups.at("g").limit == doctest::Approx(ranks * start_streams(requirements(), {})));
+    // The known targets of an evacuated zone stand for the others of their group.
+    owner.subscriber.evacuations.zones = {view.announcement.zone};
+    update_groups(owner);
+    CHECK(owner.groups.at("g").limit == 0);
+}
+
 // Failure: a deployment whose targets are not cold after a start is limited more than before.
 TEST_CASE("groups of services without cold targets have no slow start") {
     gateway_world world{{}};
