Start: parts allow for gateways that are not listed yet

Cause: with 97 gateways whose starts are spread over 300 ms, a part grew at the end of the first round to the limit divided by the gateways listed then, two thirds of them; together 1.196 of the limit. While their number rises, 1.3 times as many are assumed.

--- a/src/startlimit.cpp
+++ b/src/startlimit.cpp
@@ -21,6 +21,8 @@
 // has not changed for this long is nearly complete, and the margin allows for those that are late.
 constexpr std::chrono::milliseconds census_pauses_for{250};
 constexpr double census_margin = 1.5;
+// While the number still rises, as many as this may be missing.
+constexpr double rising_margin = 1.3;
 // Longer than the oldest load reports, so that they show what the round has begun.
 constexpr std::chrono::milliseconds round_length{600};
 // Gateways that start together do so within half a second; until the reports show all of them,
@@ -52,7 +54,8 @@
     return std::clamp(streams, min_limit_share * requirements.slots, requirements.slots);
 }
 
-void grow_part(group_start& start, start_view const& view, gateway_census const& census) {
+void grow_part(group_start& start, start_view const& view, gateway_census const& census,
+               time_point now) {
     if (!view.reported) {
         return;
     }
@@ -64,7 +67,8 @@
         start.part *= std::min(factor, max_growth);
     }
     auto const known = static_cast<double>(std::max<std::uint64_t>(1, census.gateways));
-    double const largest = limit / known + unused_streams;
+    bool const complete = now - census.changed_at >= census_pauses_for;
+    double const largest = limit / (complete ? known : rising_margin * known) + unused_streams;
     start.part = std::max(start.first_part, std::min(start.part, largest));
 }
 
@@ -154,7 +158,7 @@
     start.part = std::max(start.part, start.first_part);
     bool const is_first = start.round_begun == start.begun;
     if (now - start.round_begun >= (is_first ? first_round_length : round_length)) {
-        grow_part(start, view, census);
+        grow_part(start, view, census, now);
         start.round_begun = now;
         start.short_of_room = false;
     }
