Slow ranks get fewer experts and streams

Change: the status of a rank carries its pace; expert maps are planned by time instead of load; within a group a target's load counts by its own pace. Nothing changes where no rank is slow. Switch weigh_pace.

Tests fail without it: slow ranks keep few experts (2, 5 and 12 times slower, one and three ranks); a slow rank gets fewer streams.

--- a/src/directorywire.cpp
+++ b/src/directorywire.cpp
@@ -364,6 +364,7 @@
         fill(*wired.mutable_in_use(), *plain.experts);
     }
     wired.set_engine_address(plain.engine_address);
+    wired.set_pace(plain.pace);
     return wired.SerializeAsString();
 }
 
@@ -392,6 +393,7 @@
         plain.experts = plain_of(wired.in_use());
     }
     plain.engine_address = wired.engine_address();
+    plain.pace = wired.pace() > 0 ? wired.pace() : 1.0;
     return plain;
 }
 
--- a/src/expertplace.cpp
+++ b/src/expertplace.cpp
@@ -21,7 +21,8 @@
     std::vector<double> demand;                 ///< by expert; sums to 1
     std::vector<std::vector<unsigned>> holds;   ///< experts by rank
     std::vector<std::vector<unsigned>> holders; ///< ranks by expert
-    std::vector<double> load;                   ///< by rank
+    std::vector<double> pace;                   ///< by rank
+    std::vector<double> load;                   ///< by rank: its part of the demand, times its pace
     double power_sum{0};                        ///< of `load`, see norm()
     std::vector<unsigned> added;                ///< experts added by rank
 };
@@ -50,7 +51,7 @@
     for (unsigned expert = 0; expert < set.holders.size(); ++expert) {
         double const part = share(set, expert, copies_of(set, expert));
         for (auto const rank : set.holders[expert]) {
-            set.load[rank] += part;
+            set.load[rank] += part * set.pace[rank];
         }
     }
     set.power_sum = 0;
@@ -80,7 +81,9 @@
         changed_.reserve(usual_changes);
     }
 
-    void add(unsigned rank, double change) {
+    // Adds a change of a rank's part of the demand.
+    void add(unsigned rank, double part) {
+        double const change = part * set_->pace[rank];
         auto found = std::find_if(changed_.begin(), changed_.end(),
                                   [&](auto const& one) { return one.first == rank; });
         if (found == changed_.end()) {
@@ -148,8 +151,13 @@
 std::vector<unsigned> coolest_ranks(set_state const& set) {
     std::vector<unsigned> ranks(set.load.size());
     std::iota(ranks.begin(), ranks.end(), 0U);
+    // An idle slow rank is no place for a copy: what it would take counts as well.
+    double const mean = 1.0 / static_cast<double>(set.load.size());
+    auto const with_slowness = [&](unsigned rank) {
+        return set.load[rank] + (set.pace[rank] - 1.0) * mean;
+    };
     auto const cooler = [&](unsigned left, unsigned right) {
-        return set.load[left] < set.load[right];
+        return with_slowness(left) < with_slowness(right);
     };
     auto const tried = std::min(tried_ranks, ranks.size());
     std::partial_sort(ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(tried),
@@ -208,9 +216,11 @@
     recompute_loads(set);
 }
 
-set_state make_set(group_experts const& map, std::size_t set, std::vector<double> const& demand) {
+set_state make_set(group_experts const& map, std::size_t set, std::vector<double> const& demand,
+                   rank_paces const& paces) {
     set_state state;
     state.demand = demand;
+    state.pace = paces.empty() ? rank_paces(map.size(), 1.0) : paces;
     double total = 0;
     for (double const one : demand) {
         total += one;
@@ -235,36 +245,44 @@
     double sum = 0;
     std::size_t counted = 0;
     for (auto const& set : sets) {
-        double total = 0;
-        for (double const one : set.load) {
-            total += one;
-        }
-        if (total > 0) {
-            sum += *std::max_element(set.load.begin(), set.load.end()) *
-                   static_cast<double>(set.load.size()) / total;
+        double const highest = *std::max_element(set.load.begin(), set.load.end());
+        if (highest > 0) { // the demand of a set sums to 1
+            sum += highest * static_cast<double>(set.load.size());
             ++counted;
         }
     }
     return counted == 0 ? 1.0 : sum / static_cast<double>(counted);
 }
 
-std::vector<set_state> make_sets(group_experts const& map, expert_demand const& demand) {
+std::vector<set_state> make_sets(group_experts const& map, expert_demand const& demand,
+                                 rank_paces const& paces) {
     std::vector<set_state> sets;
     for (std::size_t set = 0; set < demand.size(); ++set) {
-        sets.push_back(make_set(map, set, demand[set]));
+        sets.push_back(make_set(map, set, demand[set], paces));
     }
     return sets;
 }
 
 } // namespace
 
-double place_skew(group_experts const& map, expert_demand const& demand) {
-    return skew_of(make_sets(map, demand));
+double place_skew(group_experts const& map, expert_demand const& demand, rank_paces const& paces) {
+    return skew_of(make_sets(map, demand, paces));
+}
+
+double planned_pace(double slowdown) {
+    constexpr double least = 1.25;
+    constexpr double highest = 16.0;
+    if (slowdown < least) {
+        return 1.0;
+    }
+    // Powers of the root of two, rounded.
+    double const steps = std::round(2 * std::log2(std::min(slowdown, highest)));
+    return std::exp2(steps / 2);
 }
 
 place_plan plan_places(group_experts const& present, expert_demand const& demand,
-                       place_limits const& limits) {
-    auto sets = make_sets(present, demand);
+                       place_limits const& limits, rank_paces const& paces) {
+    auto sets = make_sets(present, demand, paces);
     place_plan plan;
     plan.before = skew_of(sets);
     std::vector<unsigned> rank_copies(present.size(), 0);
--- a/src/expertplace.h
+++ b/src/expertplace.h
@@ -27,7 +27,7 @@
 /// A plan.
 struct place_plan {
     group_experts map;
-    double before{0};   ///< highest over mean rank load, averaged over the sets, of the present map
+    double before{0};   ///< place_skew() of the present map
     double after{0};    ///< the same for the plan
     unsigned copies{0}; ///< experts that ranks must fetch
 };
@@ -35,19 +35,29 @@
 /// Demand for each expert by set; only ratios within a set count.
 using expert_demand = std::vector<std::vector<double>>;
 
+/// Time that each rank takes for a unit of work; 1 at normal speed, 2 at half of it. Empty: all
+/// ranks are at normal speed.
+using rank_paces = std::vector<double>;
+
 /// Plans a change.
 /// @param present the map in use; every expert is on some rank
 /// @param demand demand by set and expert
 /// @param limits what one change may do
 /// @return the best plan found; `map` equals `present` when nothing helps
 place_plan plan_places(group_experts const& present, expert_demand const& demand,
-                       place_limits const& limits);
+                       place_limits const& limits, rank_paces const& paces = {});
 
-/// Highest over mean rank load, averaged over the sets that have demand.
+/// Highest time of a rank over the mean at normal speed, averaged over the sets that have demand.
 /// @param map a map
 /// @param demand demand by set and expert
 /// @return 1 for perfect balance
-double place_skew(group_experts const& map, expert_demand const& demand);
+double place_skew(group_experts const& map, expert_demand const& demand,
+                  rank_paces const& paces = {});
+
+/// The pace that plans assume for a rank. Small deviations count as normal speed, and slow ranks
+/// have one of few paces, so that a rank whose pace varies does not cause a change each time.
+/// @param slowdown as the rank's engine reports it
+double planned_pace(double slowdown);
 
 /// Demand to which a sudden change leads. Shortly after it the fresh window still holds choices
 /// from before; what it differs from the steady window is carried on.
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -448,6 +448,7 @@
             filter.full_groups = full_groups();
         }
         filter.reading = find_reading(owner_.prompt_readings, service_);
+        filter.weigh_pace = owner_.settings.policies.weigh_pace;
         return choose_target(owner_.targets, service_, owner_.settings.zone, filter,
                              owner_.target_selection, owner_.random, loop_now(owner_.loop));
     }
--- a/src/groupswitch.h
+++ b/src/groupswitch.h
@@ -42,6 +42,7 @@
         counts; ///< how often each expert was chosen, set by set, since the last counts
     std::optional<rank_experts> experts; ///< of this rank under `map_version`
     std::string engine_address;
+    double pace{1.0}; ///< time for a unit of work; 1 at normal speed
 };
 
 enum class rank_operation : std::uint8_t { prepare = 1, arm = 2 };
--- a/src/policysettings.cpp
+++ b/src/policysettings.cpp
@@ -30,6 +30,7 @@
     policy_field{"retry_failed", &policy_settings::retry_failed},
     policy_field{"start_slowly", &policy_settings::start_slowly},
     policy_field{"weigh_prompts", &policy_settings::weigh_prompts},
+    policy_field{"weigh_pace", &policy_settings::weigh_pace},
     policy_field{"plan_early", &policy_settings::plan_early},
     policy_field{"pace_cold_targets", &policy_settings::pace_cold_targets},
 };
--- a/src/policysettings.h
+++ b/src/policysettings.h
@@ -25,6 +25,7 @@
     bool retry_failed{true};      ///< run a harmless request again after a failure
     bool start_slowly{true};      ///< limit groups that are not known yet, begin with a small part
     bool weigh_prompts{true};     ///< compare targets by the prompts that they still have to read
+    bool weigh_pace{true};        ///< give slow ranks of a group fewer streams and experts
     bool plan_early{true};        ///< plan an expert map on the first passes after a sudden change
     bool pace_cold_targets{true}; ///< send cold targets no more than their declared rate
 };
--- a/src/rankagentswitch.cpp
+++ b/src/rankagentswitch.cpp
@@ -126,6 +126,7 @@
         status.experts = agent.experts;
     }
     status.engine_address = agent.settings.target_address;
+    status.pace = planned_pace(report.slowdown);
     return status;
 }
 
@@ -141,7 +142,7 @@
            status.epoch != last_sent.epoch || status.rank != last_sent.rank ||
            status.open != last_sent.open || status.map_version != last_sent.map_version ||
            status.prepared_version != last_sent.prepared_version || !same_armed() ||
-           status.held_pass != last_sent.held_pass ||
+           status.held_pass != last_sent.held_pass || status.pace != last_sent.pace ||
            status.experts.has_value() != last_sent.experts.has_value();
 }
 
@@ -257,6 +258,23 @@
     return map;
 }
 
+// Paces of the ranks relative to the fastest one; empty if all are alike.
+rank_paces paces_of(rank_agent const& agent) {
+    rank_paces paces;
+    for (auto const& [rank, tracked] : agent.coordinator->ranks) {
+        paces.push_back(tracked.status.pace);
+    }
+    auto const [fastest, slowest] = std::minmax_element(paces.begin(), paces.end());
+    if (!agent.settings.policies.weigh_pace || paces.empty() || *fastest == *slowest) {
+        return {};
+    }
+    double const unit = *fastest;
+    for (double& pace : paces) {
+        pace /= unit;
+    }
+    return paces;
+}
+
 // Whether every rank lists its experts for all sets and every expert is on some rank.
 bool is_complete(group_experts const& map, expert_demand const& demand) {
     for (std::size_t set = 0; set < demand.size(); ++set) {
@@ -279,11 +297,12 @@
     return true;
 }
 
-bool changed_suddenly(rank_agent const& agent, group_experts const& current) {
+bool changed_suddenly(rank_agent const& agent, group_experts const& current,
+                      rank_paces const& paces) {
     auto const& short_term = agent.short_term_demand.demand;
     return has_enough_choices(agent.short_term_demand) &&
-           place_skew(current, short_term) >
-               place_skew(current, agent.long_term_demand.demand) + sudden_skew;
+           place_skew(current, short_term, paces) >
+               place_skew(current, agent.long_term_demand.demand, paces) + sudden_skew;
 }
 
 void plan_change(rank_agent& agent) {
@@ -298,18 +317,20 @@
     if (!is_complete(current, agent.long_term_demand.demand)) {
         return;
     }
-    bool const sudden = agent.settings.policies.plan_early && changed_suddenly(agent, current);
+    auto const paces = paces_of(agent);
+    bool const sudden =
+        agent.settings.policies.plan_early && changed_suddenly(agent, current, paces);
     auto const& long_term = agent.long_term_demand.demand;
     auto const demand =
         sudden ? extrapolate_demand(agent.short_term_demand.demand, long_term, extrapolation_factor)
                : long_term;
     auto const limits = derive_copy_limits(*agent.traits);
     auto const max_copies =
-        place_skew(current, demand) > high_skew ? limits.high_skew : limits.usual;
+        place_skew(current, demand, paces) > high_skew ? limits.high_skew : limits.usual;
     auto const tuning = current_group_tuning(agent);
-    auto const planned =
-        plan_places(current, demand,
-                    {agent.traits->places, agent.traits->spare, max_copies, tuning.min_copy_gain});
+    auto const planned = plan_places(
+        current, demand,
+        {agent.traits->places, agent.traits->spare, max_copies, tuning.min_copy_gain}, paces);
     bool const worthwhile =
         planned.copies > 0 && planned.before - planned.after >= tuning.min_change_gain;
     if (!worthwhile) {
@@ -322,6 +343,7 @@
                  {"skew_after", planned.after},
                  {"sudden", sudden},
                  {"copies", planned.copies},
+                 {"slowest", paces.empty() ? 1.0 : *std::max_element(paces.begin(), paces.end())},
                  {"pass_ms", in_millis(agent.pass_time)}});
     auto const wall = wall_now(agent.loop.clock).time_since_epoch();
     begin_switch(coordinator, pack_map(planned.map), static_cast<std::uint64_t>(wall.count()), at);
--- a/src/targetchoice.cpp
+++ b/src/targetchoice.cpp
@@ -161,7 +161,10 @@
             view.announcement.zone == zone ? 0.0 : settings.cross_zone_penalty;
         auto const fill = is_cold(view.cold, now) ? cold_fill * slots : 0.0;
         auto const load = compared_load(view, candidate.load, slowdown, filter, settings, now);
-        candidate.cost = ((load + fill + 1.0) * slowdown + zone_penalty) / slots;
+        // All ranks of a group wait for the slowest one, which takes longer with each request of
+        // its own.
+        double const own_delay = filter.weigh_pace && view.group ? own_slowdown : 1.0;
+        candidate.cost = ((load + fill + 1.0) * slowdown * own_delay + zone_penalty) / slots;
         scored.push_back(candidate);
     }
     choice.candidates = static_cast<unsigned>(scored.size());
--- a/src/targetchoice.h
+++ b/src/targetchoice.h
@@ -41,6 +41,7 @@
     access_rules const* access{nullptr}; ///< null: all targets are allowed
     /// How the service's targets read prompts; null: targets are compared by their requests alone.
     prompt_reading const* reading{nullptr};
+    bool weigh_pace{false}; ///< slow ranks get less than others of their group
 };
 
 /// A target's membership in a group of ranks that run each forward pass together.
--- a/tests/gateway_load_test.cpp
+++ b/tests/gateway_load_test.cpp
@@ -307,6 +307,29 @@
     CHECK(choose_target(fleet, "s", "z0", {}, {}, random, at_ms(70)).id < "t102");
 }
 
+// Load pattern: one rank of the only group is slow, and each pass waits for it. Regression: it got
+// as many streams as the other ranks, since all counted as slow as it is.
+TEST_CASE("a slow rank gets fewer streams than others of its group") {
+    auto fleet = make_fleet(4, 12);
+    rng random{4};
+    for (auto& [id, view] : fleet) {
+        view.group = group_membership{"g", 1, 0, true, at_ms(0)};
+        view.load = load_sample{at_ms(0), 0, 0, 0, id == "t100" ? 5.0 : 1.0};
+    }
+    target_filter filter;
+    filter.weigh_pace = true;
+    std::map<std::string, unsigned> sent;
+    for (unsigned stream = 0; stream < 24; ++stream) {
+        auto const id = choose_target(fleet, "s", "z0", filter, {}, random, at_ms(50)).id;
+        ++fleet.at(id).own_in_flight;
+        ++sent[id];
+    }
+    CHECK(sent["t100"] <= 1);
+    for (auto const* const id : {"t101", "t102", "t103"}) {
+        CHECK(sent[id] >= 7);
+    }
+}
+
 // Load pattern: a target fails repeatedly. Each failure doubles the time for which it is avoided,
 // up to a limit, and a success ends it.
 TEST_CASE("a failing target is avoided for increasing times") {
--- a/tests/gateway_place_test.cpp
+++ b/tests/gateway_place_test.cpp
@@ -115,6 +115,75 @@
     CHECK(place_skew(map, none) == doctest::Approx(1.0));
 }
 
+namespace {
+
+// A single large group, with a fifth of its places for copies.
+test_group large_group() {
+    constexpr unsigned copies_a_rank = 8;
+    return {63, 8, 252, {5, 2, copies_a_rank, 0.01}};
+}
+
+} // namespace
+
+// Load pattern: some ranks of the only group are several times slower for seconds, and all ranks
+// wait for them. Regression: slow ranks kept their experts, so passes were longer by their
+// slowness.
+TEST_CASE("slow ranks keep few experts") {
+    auto const group = large_group();
+    for (double const slowdown : {2.0, 5.0, 12.0}) {
+        for (unsigned const slow_ranks : {1U, 3U}) {
+            CAPTURE(slowdown);
+            CAPTURE(slow_ranks);
+            rng random{5};
+            auto map = initial_map(group);
+            auto const demand = skewed_demand(group, random);
+            for (int change = 0; change < 4; ++change) {
+                map = plan_places(map, demand, group.limits).map;
+            }
+            double const before = place_skew(map, demand);
+            rank_paces paces(group.ranks, 1.0);
+            for (unsigned rank = 0; rank < slow_ranks; ++rank) {
+                paces[rank * 20] = planned_pace(slowdown);
+            }
+            double const unplanned = place_skew(map, demand, paces);
+            for (int change = 0; change < 4; ++change) {
+                auto const plan = plan_places(map, demand, group.limits, paces);
+                check_plan(group, map, plan);
+                map = plan.map;
+            }
+            // As long as without slow ranks, but for a quarter.
+            CHECK(place_skew(map, demand, paces) < 1.25 * before);
+            CHECK(unplanned > 1.25 * before);
+            // The slow ranks are well again.
+            for (int change = 0; change < 2; ++change) {
+                map = plan_places(map, demand, group.limits).map;
+            }
+            CHECK(place_skew(map, demand) < 1.25 * before);
+        }
+    }
+}
+
+// Failure: a rank whose pace varies a little makes the coordinator change the map each time.
+TEST_CASE("small variations of pace cause no change of the map") {
+    auto const group = large_group();
+    rng random{6};
+    auto map = initial_map(group);
+    auto const demand = skewed_demand(group, random);
+    rank_paces paces(group.ranks, 1.0);
+    paces[3] = planned_pace(5.0);
+    for (int change = 0; change < 20; ++change) {
+        map = plan_places(map, demand, group.limits, paces).map;
+    }
+    for (double const slowdown : {4.9, 5.3, 6.0, 5.1}) {
+        paces[3] = planned_pace(slowdown);
+        CHECK(plan_places(map, demand, group.limits, paces).copies == 0);
+    }
+    CHECK(planned_pace(1.0) == 1.0);
+    CHECK(planned_pace(1.2) == 1.0);
+    CHECK(planned_pace(1.6) == doctest::Approx(std::sqrt(2.0)));
+    CHECK(planned_pace(1'000) == doctest::Approx(16.0));
+}
+
 // Load pattern: demand moves to other experts at once, while the demand windows still contain
 // earlier choices.
 TEST_CASE("a sudden change of demand is extrapolated to its end") {
