Command that explains where a request would go now

The choice of a target and the cause to wait move from gatewaycall to calladmission, and the rating of all targets from choose_target() to rate_targets(), so that an explanation calls what serves requests. fireflycrank-platform where asks a gateway on its own VM; nothing is sent, counted or drawn.

--- a/src/coldtargets.cpp
+++ b/src/coldtargets.cpp
@@ -115,7 +115,7 @@
            loop_now(owner.loop) - wait->second.noted_at < wait_memory;
 }
 
-duration next_slot_interval(gateway& owner, std::string const& service) {
+duration next_slot_interval(gateway const& owner, std::string const& service) {
     return waits_for_cold(owner, service) ? owner.cold_waits.at(service).interval
                                           : slot_interval(owner, service);
 }
--- a/src/coldtargets.h
+++ b/src/coldtargets.h
@@ -40,7 +40,7 @@
 
 /// Returns the mean time between two places for requests of a service: at cold targets while the
 /// requests wait for these, otherwise between two slots that became free lately.
-duration next_slot_interval(gateway& owner, std::string const& service);
+duration next_slot_interval(gateway const& owner, std::string const& service);
 
 /// Records a request to a target if this gateway may send it one now.
 /// @return zero if it may, otherwise the time until then
--- a/src/eventloop.cpp
+++ b/src/eventloop.cpp
@@ -113,10 +113,15 @@
 }
 
 result<std::shared_ptr<http_listener>> open_metrics(event_loop& loop, vm_settings const& settings,
-                                                    std::shared_ptr<metrics_registry> registry) {
-    auto const serve = [registry =
-                            std::move(registry)](incoming_request const& request,
-                                                 std::shared_ptr<response_writer> const& writer) {
+                                                    std::shared_ptr<metrics_registry> registry,
+                                                    request_handler others) {
+    auto const serve = [registry = std::move(registry), others = std::move(others)](
+                           incoming_request const& request,
+                           std::shared_ptr<response_writer> const& writer) {
+        if (request.head.target != metrics_path && others) {
+            others(request, writer);
+            return;
+        }
         if (request.head.target != metrics_path) {
             writer->send(not_found, {}, {});
             return;
--- a/src/eventloop.h
+++ b/src/eventloop.h
@@ -99,9 +99,11 @@
 /// @param loop the loop
 /// @param settings the VM
 /// @param registry the metrics
+/// @param others serves requests for other paths; empty: these are answered with 404
 /// @return the listener; `unavailable` if the port is taken
 result<std::shared_ptr<http_listener>> open_metrics(event_loop& loop, vm_settings const& settings,
-                                                    std::shared_ptr<metrics_registry> registry);
+                                                    std::shared_ptr<metrics_registry> registry,
+                                                    request_handler others = {});
 
 /// A time span as a number of milliseconds, for log fields.
 double in_millis(duration span);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "choiceexplain.h"
 #include "directorywire.h"
 #include "peeraddress.h"
 #include "platform/callheaders.h"
@@ -450,7 +451,15 @@
                                          owner.loop.admission));
         daemon.directory = directory;
     }
-    BOOST_OUTCOME_TRY(metrics, open_metrics(owner.loop, owner.settings, owner.metrics));
+    auto const explain = [&owner](incoming_request const& request,
+                                  std::shared_ptr<response_writer> const& out) {
+        if (request.head.target == explanation_path) {
+            serve_explanation(owner, request, *out);
+        } else {
+            out->send(not_found, {}, {});
+        }
+    };
+    BOOST_OUTCOME_TRY(metrics, open_metrics(owner.loop, owner.settings, owner.metrics, explain));
     daemon.metrics = metrics;
     return ok();
 }
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -1,3 +1,4 @@
+#include "calladmission.h"
 #include "callfingerprint.h"
 #include "callnames.h"
 #include "digest.h"
@@ -51,8 +52,6 @@
 constexpr std::chrono::milliseconds max_config_wait{1'500};
 // Divides the caller's time limit, so that a retry still has time.
 constexpr int config_wait_divisor = 3;
-// Time from sending a request to the first event of its stream at a target with a free slot.
-constexpr std::chrono::milliseconds typical_first_event_delay{150};
 // Callers abandon a stream after two seconds without an event; an earlier refusal leaves them time
 // to retry.
 constexpr std::chrono::milliseconds stream_queue_timeout{1'500};
@@ -430,27 +429,30 @@
         return found == owner_.targets.end() ? nullptr : &found->second;
     }
 
+    // What the choice of a target for the next attempt depends on.
+    [[nodiscard]] call_need need() const {
+        call_need need;
+        need.service = service_;
+        need.stream = progress_.kind == call_kind::stream;
+        need.resumed = progress_.answer_started;
+        need.slack = latest_send_time() - loop_now(owner_.loop);
+        need.prompt_tokens = headers_.prompt_tokens;
+        need.access = &access_;
+        need.excluded = excluded_;
+        if (tried_targets_.size() >= progress_.max_attempts) {
+            need.only = tried_targets_;
+        }
+        return need;
+    }
+
     // Chooses a target for the next attempt.
     // @param more_excluded targets that must not be chosen besides those already excluded
     [[nodiscard]] target_choice choose(std::vector<std::string> const& more_excluded = {}) const {
-        target_filter filter;
-        filter.access = &access_;
-        filter.excluded = excluded_;
-        filter.excluded.insert(filter.excluded.end(), more_excluded.begin(), more_excluded.end());
-        if (tried_targets_.size() >= progress_.max_attempts) {
-            filter.only = tried_targets_;
-        }
-        auto const followed = owner_.followed.find(service_);
-        bool const prefers =
-            owner_.settings.policies.follow_subset && followed != owner_.followed.end();
-        filter.subset = prefers ? &followed->second : nullptr;
-        if (progress_.kind == call_kind::stream && owner_.settings.policies.limit_streams) {
-            filter.full_groups = full_groups();
-        }
-        filter.reading = find_reading(owner_.prompt_readings, service_);
-        filter.weigh_pace = owner_.settings.policies.weigh_pace;
-        return choose_target(owner_.targets, service_, owner_.settings.zone, filter,
-                             owner_.target_selection, owner_.random, loop_now(owner_.loop));
+        auto wanted = need();
+        wanted.excluded.insert(wanted.excluded.end(), more_excluded.begin(), more_excluded.end());
+        return choose_target(owner_.targets, service_, owner_.settings.zone,
+                             filter_for(owner_, wanted), owner_.target_selection, owner_.random,
+                             loop_now(owner_.loop));
     }
 
     // Waiting is useless for a request that the access rules leave without any target.
@@ -464,25 +466,10 @@
         return true;
     }
 
-    [[nodiscard]] wait_cause cause_to_wait(target_choice const& choice) const {
-        slot_request need;
-        need.stream = progress_.kind == call_kind::stream;
-        need.resumed = progress_.answer_started;
-        need.slack = latest_send_time() - loop_now(owner_.loop);
-        need.reserve = owner_.settings.policies.reserve_slots;
-        if (!choice.healthy) {
-            return is_usable(choice) ? wait_cause::cold_targets : wait_cause::no_target;
-        }
-        if (!fireflycrank::has_capacity(choice, need)) {
-            return choice.group_full ? wait_cause::full_group : wait_cause::full_target;
-        }
-        return need.stream && is_held(choice) ? wait_cause::long_passes : wait_cause::none;
-    }
-
     // Sets the cause to wait. A group without room for a request that could be on time is short of
     // places.
     void check_room(target_choice const& choice) {
-        wait_cause_ = cause_to_wait(choice);
+        wait_cause_ = cause_to_wait(owner_, need(), choice);
         note_cold_wait(owner_, service_, choice);
         auto const now = loop_now(owner_.loop);
         auto const group = owner_.groups.find(choice.group);
@@ -492,11 +479,6 @@
         }
     }
 
-    [[nodiscard]] admission_request admission_need() const {
-        return {progress_.answer_started, latest_send_time() - loop_now(owner_.loop),
-                excess_of(find_reading(owner_.prompt_readings, service_), headers_.prompt_tokens)};
-    }
-
     // State of the group that the request was sent to; empty if it has none.
     [[nodiscard]] group_admission const& group_state() const {
         static group_admission const none;
@@ -504,25 +486,6 @@
         return group == owner_.groups.end() ? none : group->second;
     }
 
-    [[nodiscard]] std::vector<std::string> full_groups() const {
-        std::vector<std::string> names;
-        for (auto const& [name, group] : owner_.groups) {
-            if (is_full(group, admission_need())) {
-                names.push_back(name);
-            }
-        }
-        return names;
-    }
-
-    // Whether the passes of the chosen target's group are too long for another prompt.
-    [[nodiscard]] bool is_held(target_choice const& choice) const {
-        auto const group = owner_.groups.find(choice.group);
-        auto const needs = owner_.pass_needs.find(service_);
-        return owner_.settings.policies.hold_long_passes && group != owner_.groups.end() &&
-               needs != owner_.pass_needs.end() &&
-               should_hold(group->second, admission_need(), needs->second, loop_now(owner_.loop));
-    }
-
     // Latest time to send a stream so that its first event can still meet the objective.
     [[nodiscard]] time_point latest_send_time() const {
         return request_.first_byte_at - spent_before_ + latency_objective_ -
@@ -926,7 +889,7 @@
             return false;
         }
         auto const choice = choose({target_id_});
-        return !choice.quiet && cause_to_wait(choice) == wait_cause::none;
+        return !choice.quiet && cause_to_wait(owner_, need(), choice) == wait_cause::none;
     }
 
     // Takes one retry from the budget if the policy allows to repeat the present run.
--- a/src/targetchoice.cpp
+++ b/src/targetchoice.cpp
@@ -39,10 +39,7 @@
     return slowdowns;
 }
 
-// Lower is better. If any target of the service has a group, one without a known group counts as
-// backing off.
-enum class health_level : std::uint8_t { healthy, suspect, quiet, backing_off, silent };
-
+// If any target of the service has a group, one without a known group counts as backing off.
 health_level health(target_view const& view, bool service_has_groups,
                     choice_settings const& settings, time_point now) {
     bool const recently_closed =
@@ -79,21 +76,54 @@
     return weighed_load(load, room, excess, *filter.reading);
 }
 
-struct scored_target {
-    target_view const* view{nullptr};
-    health_level health{health_level::healthy};
-    bool in_subset{true};
-    bool group_full{false};
-    double load{0};
-    double cost{0};
-};
-
 // Preference before the cost is compared; lower is better.
-int preference_rank(scored_target const& candidate) {
+int preference_rank(rated_target const& candidate) {
     return 4 * static_cast<int>(candidate.health) + (candidate.group_full ? 2 : 0) +
            (candidate.in_subset ? 0 : 1);
 }
 
+target_exclusion judge_exclusion(target_view const& view, std::string const& id,
+                                 target_filter const& filter, time_point now) {
+    if (view.announcement.state != target_phase::ready || view.leaving) {
+        return target_exclusion::not_ready;
+    }
+    if (!allows(filter, id)) {
+        return target_exclusion::tried;
+    }
+    auto const denial = filter.access == nullptr
+                            ? access_denial::none
+                            : judge_access(*filter.access, view.announcement.zone);
+    if (denial != access_denial::none) {
+        return denial == access_denial::evacuated_zone ? target_exclusion::evacuated_zone
+                                                       : target_exclusion::foreign_region;
+    }
+    if (now < view.pauses_until) {
+        return target_exclusion::paused;
+    }
+    return may_send(view.cold, now) ? target_exclusion::none : target_exclusion::cold;
+}
+
+void count_exclusion(target_choice& choice, cold_shortage& left_out, rated_target const& target) {
+    switch (target.exclusion) {
+    case target_exclusion::evacuated_zone:
+        count_denial(choice.denied, access_denial::evacuated_zone);
+        return;
+    case target_exclusion::foreign_region:
+        count_denial(choice.denied, access_denial::foreign_region);
+        return;
+    case target_exclusion::paused:
+        ++choice.paused;
+        return;
+    case target_exclusion::cold:
+        if (target.health <= health_level::quiet) {
+            add_shortage(left_out, target.view->cold);
+        }
+        return;
+    default:
+        return;
+    }
+}
+
 } // namespace
 
 std::string ungrouped_name(std::string const& service) {
@@ -110,48 +140,35 @@
                     reported + own_requests - static_cast<double>(view.load->own_at_sample));
 }
 
-target_choice choose_target(std::map<std::string, target_view> const& targets,
-                            std::string const& service, std::string const& zone,
-                            target_filter const& filter, choice_settings const& settings,
-                            rng& random, time_point now) {
-    std::vector<scored_target> scored;
-    cold_shortage left_out;
+std::vector<rated_target> rate_targets(std::map<std::string, target_view> const& targets,
+                                       std::string const& service, std::string const& zone,
+                                       target_filter const& filter, choice_settings const& settings,
+                                       time_point now) {
+    std::vector<rated_target> rated;
     auto const slowdowns = group_slowdowns(targets);
     bool const service_has_groups =
         std::any_of(targets.begin(), targets.end(), [&](auto const& entry) {
             return entry.second.announcement.service == service && entry.second.group;
         });
-    target_choice choice;
     auto const ungrouped = filter.full_groups.empty() ? std::string{} : ungrouped_name(service);
     bool const ungrouped_full = contains(filter.full_groups, ungrouped);
     for (auto const& [id, view] : targets) {
-        bool const accepts = view.announcement.state == target_phase::ready && !view.leaving;
-        if (view.announcement.service != service || !accepts || !allows(filter, id)) {
-            continue;
-        }
-        auto const denial = filter.access == nullptr
-                                ? access_denial::none
-                                : judge_access(*filter.access, view.announcement.zone);
-        if (denial != access_denial::none) {
-            count_denial(choice.denied, denial);
+        if (view.announcement.service != service) {
             continue;
         }
-        if (now < view.pauses_until) {
-            ++choice.paused;
+        rated_target target;
+        target.view = &view;
+        target.health = health(view, service_has_groups, settings, now);
+        target.exclusion = judge_exclusion(view, id, filter, now);
+        if (target.exclusion != target_exclusion::none) {
+            rated.push_back(target);
             continue;
         }
-        if (!may_send(view.cold, now)) {
-            if (health(view, service_has_groups, settings, now) <= health_level::quiet) {
-                add_shortage(left_out, view.cold);
-            }
-            continue;
-        }
-        bool const group_full =
+        // The part of a cold target spreads the gateways already.
+        target.in_subset = is_limited(view.cold, now) || is_in_subset(filter, id);
+        target.group_full =
             view.group ? contains(filter.full_groups, view.group->name) : ungrouped_full;
-        scored_target candidate{&view, health(view, service_has_groups, settings, now),
-                                // The part of a cold target spreads the gateways already.
-                                is_limited(view.cold, now) || is_in_subset(filter, id), group_full,
-                                estimated_load(view, settings, now), 0};
+        target.load = estimated_load(view, settings, now);
         auto const slots = std::max(1.0, static_cast<double>(view.announcement.slots));
         auto const found = view.group ? slowdowns.find(view.group->name) : slowdowns.end();
         auto const own_slowdown = view.load ? view.load->slowdown : 1.0;
@@ -160,28 +177,46 @@
         auto const zone_penalty =
             view.announcement.zone == zone ? 0.0 : settings.cross_zone_penalty;
         auto const fill = is_cold(view.cold, now) ? cold_fill * slots : 0.0;
-        auto const load = compared_load(view, candidate.load, slowdown, filter, settings, now);
+        auto const load = compared_load(view, target.load, slowdown, filter, settings, now);
         // All ranks of a group wait for the slowest one, which takes longer with each request of
         // its own.
         double const own_delay = filter.weigh_pace && view.group ? own_slowdown : 1.0;
-        candidate.cost = ((load + fill + 1.0) * slowdown * own_delay + zone_penalty) / slots;
-        scored.push_back(candidate);
+        target.cost = ((load + fill + 1.0) * slowdown * own_delay + zone_penalty) / slots;
+        rated.push_back(target);
     }
-    choice.candidates = static_cast<unsigned>(scored.size());
-    if (scored.empty()) {
+    return rated;
+}
+
+target_choice choose_target(std::map<std::string, target_view> const& targets,
+                            std::string const& service, std::string const& zone,
+                            target_filter const& filter, choice_settings const& settings,
+                            rng& random, time_point now) {
+    target_choice choice;
+    cold_shortage left_out;
+    std::vector<rated_target> candidates;
+    for (auto const& target : rate_targets(targets, service, zone, filter, settings, now)) {
+        if (target.exclusion == target_exclusion::none) {
+            candidates.push_back(target);
+        } else {
+            count_exclusion(choice, left_out, target);
+        }
+    }
+    choice.candidates = static_cast<unsigned>(candidates.size());
+    if (candidates.empty()) {
         choice.cold_left_out = left_out;
         return choice;
     }
-    auto const best = std::min_element(
-        scored.begin(), scored.end(), [](scored_target const& left, scored_target const& right) {
-            auto const left_rank = preference_rank(left);
-            auto const right_rank = preference_rank(right);
-            return left_rank != right_rank ? left_rank < right_rank : left.cost < right.cost;
-        });
+    auto const best = std::min_element(candidates.begin(), candidates.end(),
+                                       [](rated_target const& left, rated_target const& right) {
+                                           auto const left_rank = preference_rank(left);
+                                           auto const right_rank = preference_rank(right);
+                                           return left_rank != right_rank ? left_rank < right_rank
+                                                                          : left.cost < right.cost;
+                                       });
     auto const slots = std::max(1.0, static_cast<double>(best->view->announcement.slots));
     auto const max_cost = best->cost + settings.tie_margin / slots;
-    std::vector<scored_target const*> tied;
-    for (auto const& candidate : scored) {
+    std::vector<rated_target const*> tied;
+    for (auto const& candidate : candidates) {
         if (preference_rank(candidate) == preference_rank(*best) && candidate.cost <= max_cost) {
             tied.push_back(&candidate);
         }
@@ -194,6 +229,7 @@
     choice.suspect = chosen.health == health_level::suspect;
     choice.quiet = chosen.health == health_level::quiet;
     choice.slots = chosen.view->announcement.slots;
+    auto const ungrouped = filter.full_groups.empty() ? std::string{} : ungrouped_name(service);
     choice.group = chosen.view->group ? chosen.view->group->name : ungrouped;
     choice.group_full = chosen.group_full;
     choice.cold = is_cold(chosen.view->cold, now);
--- a/src/targetchoice.h
+++ b/src/targetchoice.h
@@ -134,6 +134,37 @@
 /// @return number of running and waiting requests
 double estimated_load(target_view const& view, choice_settings const& settings, time_point now);
 
+/// Condition of a target; lower is better.
+enum class health_level : std::uint8_t { healthy, suspect, quiet, backing_off, silent };
+
+/// Why a target is no candidate for a request.
+enum class target_exclusion : std::uint8_t {
+    none,
+    not_ready, ///< it drains, leaves or has departed
+    tried,     ///< the request was sent there and must not be again, or may only go elsewhere
+    evacuated_zone,
+    foreign_region,
+    paused, ///< it asked this gateway to send nothing for a while
+    cold    ///< this gateway's part of its rate is used up
+};
+
+/// A target of a service as a request finds it.
+struct rated_target {
+    target_view const* view{nullptr};
+    target_exclusion exclusion{target_exclusion::none};
+    health_level health{health_level::healthy};
+    bool in_subset{true};
+    bool group_full{false};
+    double load{0}; ///< estimated running and waiting requests
+    double cost{0}; ///< load per slot, with all that is added; the lowest is chosen
+};
+
+/// Rates all targets of a service for a request.
+std::vector<rated_target> rate_targets(std::map<std::string, target_view> const& targets,
+                                       std::string const& service, std::string const& zone,
+                                       target_filter const& filter, choice_settings const& settings,
+                                       time_point now);
+
 /// Chooses the target with the lowest load per slot among those in the best health.
 /// @param service only targets of this service are candidates
 /// @param zone this gateway's availability zone
