Start: callers who waited for it wait for the room that grows

Change: while a group's start lasts, late requests may wait until a second after its begin, and the interval between free places follows from the part that the known gateways leave. Only services with cold targets have a start.

Test: late requests wait for the room that grows at a start (6 of 6 are refused at once without it).

--- a/src/callqueue.cpp
+++ b/src/callqueue.cpp
@@ -66,8 +66,8 @@
 }
 
 std::vector<std::uint64_t> hopeless_calls(call_queue const& queue, std::string const& service,
-                                          queue_order order, duration slot_interval,
-                                          time_point now) {
+                                          queue_order order, duration slot_interval, time_point now,
+                                          time_point late_until) {
     std::vector<std::uint64_t> ids;
     auto const found = queue.by_service.find(service);
     if (found == queue.by_service.end()) {
@@ -80,7 +80,8 @@
               });
     auto sent_at = now;
     for (auto const& call : waiting) {
-        auto const latest = is_late(call, now) ? call.arrived + max_late_wait : call.send_by;
+        auto const latest =
+            is_late(call, now) ? std::max(call.arrived + max_late_wait, late_until) : call.send_by;
         if (!call.resumed && sent_at + slot_interval > latest) {
             ids.push_back(call.id);
         } else {
--- a/src/callqueue.h
+++ b/src/callqueue.h
@@ -53,10 +53,11 @@
 /// those that would miss their objective, and late ones that would wait for longer than a late
 /// request should.
 /// @param slot_interval mean time between two slots that become free for this gateway
+/// @param late_until late requests may wait until then, because room is expected to grow
 /// @return their ids; they stay queued
 std::vector<std::uint64_t> hopeless_calls(call_queue const& queue, std::string const& service,
-                                          queue_order order, duration slot_interval,
-                                          time_point now);
+                                          queue_order order, duration slot_interval, time_point now,
+                                          time_point late_until = {});
 
 /// Returns the ids of requests whose `expires_at` has passed; they stay queued.
 std::vector<std::uint64_t> expired_calls(call_queue const& queue, time_point now);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -114,6 +114,9 @@
 /// Whether new streams of a service can only begin when running ones end.
 bool slots_are_short(gateway const& owner, std::string const& service);
 
+/// Returns until when late requests may wait for a service whose groups have just been seen.
+time_point late_wait_end(gateway const& owner, std::string const& service);
+
 /// Returns the mean time between two slots of a service that become free for this gateway, as
 /// expected while it has just started.
 /// @return zero if unknown
--- a/src/gatewaycall.cpp
+++ b/src/gatewaycall.cpp
@@ -1534,7 +1534,8 @@
     if (!owner.settings.policies.refuse_hopeless || interval <= duration::zero() || !is_short) {
         return;
     }
-    for (auto const id : hopeless_calls(owner.queue, service, order_of(owner), interval, now)) {
+    for (auto const id : hopeless_calls(owner.queue, service, order_of(owner), interval, now,
+                                        late_wait_end(owner, service))) {
         auto const call = owner.queued_calls.at(id);
         call->refuse_hopeless();
     }
--- a/src/gatewaygroups.cpp
+++ b/src/gatewaygroups.cpp
@@ -126,6 +126,16 @@
     });
 }
 
+time_point late_wait_end(gateway const& owner, std::string const& service) {
+    time_point latest{};
+    for (auto const& [name, group] : owner.groups) {
+        if (group.service == service) {
+            latest = std::max(latest, late_wait_end(group.start));
+        }
+    }
+    return latest;
+}
+
 duration slot_interval(gateway const& owner, std::string const& service) {
     auto const flow = owner.slot_flows.find(service);
     auto const observed = flow == owner.slot_flows.end()
@@ -138,7 +148,7 @@
     double part = 0;
     for (auto const& [name, group] : owner.groups) {
         bool const starts = group.service == service && group.start.phase != start_phase::none;
-        part += starts ? group.own_limit : 0;
+        part += starts ? std::max(group.own_limit, expected_part(group.limit, owner.census)) : 0;
     }
     return part > 0 ? expected_slot_interval(needs->second, part) : duration{};
 }
--- a/src/startlimit.cpp
+++ b/src/startlimit.cpp
@@ -39,6 +39,9 @@
 constexpr std::chrono::milliseconds known_census_settles_in{600};
 constexpr std::chrono::milliseconds min_start{2'000};
 constexpr std::chrono::milliseconds max_start{4'000};
+// Callers who waited for the start are late when it begins. The room for them grows within this
+// time; if they were refused, they would return when new callers have filled it.
+constexpr std::chrono::milliseconds late_wait{1'000};
 // Of the slots, for each second. Gateways fill a higher limit before reports show what others do.
 constexpr double rise_per_second = 0.12;
 
@@ -152,8 +155,7 @@
     }
     start.first_part = limit / first_part_divisor;
     if (census.gateways > 1 && now - census.changed_at >= census_pauses_for) {
-        start.first_part = std::max(start.first_part,
-                                    limit / (census_margin * static_cast<double>(census.gateways)));
+        start.first_part = std::max(start.first_part, expected_part(limit, census));
     }
     start.part = std::max(start.part, start.first_part);
     bool const is_first = start.round_begun == start.begun;
@@ -164,6 +166,15 @@
     }
 }
 
+double expected_part(double limit, gateway_census const& census) {
+    auto const known = static_cast<double>(std::max<std::uint64_t>(1, census.gateways));
+    return limit / (census_margin * known);
+}
+
+time_point late_wait_end(group_start const& start) {
+    return start.phase == start_phase::none ? time_point{} : start.begun + late_wait;
+}
+
 duration usual_stream(pass_requirements const& requirements) {
     // About half of the pause target, as in a group below its limit.
     return std::chrono::duration_cast<duration>(requirements.usual_passes *
--- a/src/startlimit.h
+++ b/src/startlimit.h
@@ -78,6 +78,12 @@
 void advance_start(group_start& start, start_view const& view, gateway_census const& census,
                    time_point now);
 
+/// The part that this gateway is expected to have when its start is over.
+double expected_part(double limit, gateway_census const& census);
+
+/// Returns until when late requests may wait for room at a gateway that has just started.
+time_point late_wait_end(group_start const& start);
+
 /// Returns how long a stream of usual length runs.
 duration usual_stream(pass_requirements const& requirements);
 
--- a/tests/gateway_start_test.cpp
+++ b/tests/gateway_start_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the limits of groups in the first seconds of gateways that know nothing yet, with a
 // model of the group in place of targets.
+#include "callqueue.h"
 #include "gatewayworld.h"
 #include "rng.h"
 #include "startlimit.h"
@@ -279,6 +280,36 @@
     CHECK(expected_slot_interval({}, 4) == duration::zero());
 }
 
+// Load pattern: callers wait for a restart longer than their objective, and some of the group's
+// room is free a second later. Regression: all of them were refused at once, and returned when new
+// callers had filled the group.
+TEST_CASE("late requests wait for the room that grows at a start") {
+    constexpr unsigned gateways = 27;
+    constexpr double limit = 399; // of three groups of 24 ranks
+    constexpr std::uint64_t waiting = 6;
+    auto start = begin_start(0.5, at_ms(0));
+    call_queue queue;
+    for (std::uint64_t id = 1; id <= waiting; ++id) {
+        queued_call call;
+        call.id = id;
+        call.arrived = at_ms(-800);
+        call.send_by = at_ms(-450);
+        call.expires_at = at_ms(700);
+        enqueue(queue, "s", call);
+    }
+    gateway_census const census{gateways, at_ms(0)};
+    auto const interval = expected_slot_interval(requirements(), expected_part(limit, census));
+    auto const hopeless = [&](std::int64_t ms) {
+        return hopeless_calls(queue, "s", queue_order::by_priority, interval, at_ms(ms),
+                              late_wait_end(start))
+            .size();
+    };
+    CHECK(hopeless(0) == 0);
+    CHECK(hopeless(1'000) == waiting);
+    start.phase = start_phase::none;
+    CHECK(hopeless(0) == waiting);
+}
+
 // Load pattern: calls wait when the first report names a group. Regression: they were admitted to
 // the new group before it had a limit, so most of the 582 streams of one second began at once.
 TEST_CASE("a group has a limit from its first report on") {
