Test of a stopping registrar waits for its start as long as its bound says

Cause, by a trial: the loop of the test has no work before it is connected, so run_until() returns from each round at once, and its 5,000 attempts take 30 ms instead of 10 s. In the hung process 65 ms lay between the registrar's first two files, and its port was open.

Change: a pause of a round after each failed attempt, so that the bound is what it says, and a failure ends the registrar's thread. No check is changed.

--- a/tests/gateway_registrarstop_test.cpp
+++ b/tests/gateway_registrarstop_test.cpp
@@ -65,12 +65,21 @@
 
     void connect() {
         auto const endpoint = parse_endpoint(settings.listen.control).value();
-        REQUIRE(run_until(loop, [&] {
+        bool const connected = run_until(loop, [&] {
             net_error failed;
             caller.socket.close(failed);
             caller.socket.connect(endpoint, failed);
+            if (failed) {
+                // The loop has no work yet, so it returns at once: without a pause all attempts
+                // are over before the thread of the registrar runs on a busy machine.
+                std::this_thread::sleep_for(run_until_round);
+            }
             return !failed;
-        }));
+        });
+        if (!connected) {
+            stop(); // otherwise the thread of the registrar is waited for without end
+        }
+        REQUIRE(connected);
     }
 
     static void stop() { ::kill(::getpid(), SIGTERM); }
