--- a/tests/gateway_cold_test.cpp
+++ b/tests/gateway_cold_test.cpp
@@ -443,6 +443,53 @@
     CHECK(view.cold.sends.size() == 1);
 }
 
+// Failure: health checks of a cold target come beside this gateway's part of its rate.
+TEST_CASE("a health check takes a place of a cold target") {
+    gateway_world world{{}};
+    auto& owner = world.owner;
+    pause(owner.loop.clock, loop_now(owner.loop));
+    auto& cold = owner.targets.at("first").cold;
+    cold.declared = true;
+    cold.paced = true;
+    cold.part = 1;
+    record_cold(cold, std::chrono::seconds{20}, loop_now(owner.loop));
+    CHECK(take_cold_send(owner, "first") == duration::zero());
+    CHECK(cold.sends.size() == 1);
+    CHECK_FALSE(may_send(cold, loop_now(owner.loop)));
+    CHECK(take_cold_send(owner, "first") == owner.cold_pace.window);
+    CHECK(cold.sends.size() == 1);
+    advance_clock(owner.loop.clock, owner.cold_pace.window);
+    CHECK(take_cold_send(owner, "first") == duration::zero());
+    cold.part = 0; // the check waits until the target is warm
+    CHECK(take_cold_send(owner, "first") == cold.until - loop_now(owner.loop));
+}
+
+// Failure: callers that cold targets could not take return all at once, or before there is room.
+TEST_CASE("callers refused by cold targets return at the pace of these") {
+    gateway_world world{{}};
+    auto& owner = world.owner;
+    auto const now = loop_now(owner.loop);
+    target_choice choice;
+    cold_state cold;
+    cold.part = 2;
+    record_cold(cold, std::chrono::seconds{20}, now);
+    add_shortage(choice.cold_left_out, cold);
+    note_cold_wait(owner, "s", choice);
+    REQUIRE(waits_for_cold(owner, "s"));
+    auto const interval = next_slot_interval(owner, "s");
+    CHECK(interval == owner.cold_pace.window / 2);
+    return_plan plan;
+    constexpr std::chrono::seconds left{30};
+    std::vector<milliseconds> delays;
+    for (int caller = 0; caller < 3; ++caller) {
+        delays.push_back(plan_return(plan, interval, left, owner.random, now));
+    }
+    CHECK(delays[0] >= milliseconds{1'000});
+    for (std::size_t caller = 1; caller < delays.size(); ++caller) {
+        CHECK(delays[caller] - delays[caller - 1] >= interval);
+    }
+}
+
 // Failure: after a power cut of all VMs no gateway knows the others, and all targets are cold; with
 // no part for any gateway nothing is served for seconds, with whole parts targets crash.
 TEST_CASE(
