--- a/src/coldpace.cpp
+++ b/src/coldpace.cpp
@@ -47,6 +47,7 @@
         return;
     }
     if (!gateways.in_touch || !has_list) {
+        gateways.revision += gateways.known_since ? 1 : 0;
         gateways.known_since.reset();
         return;
     }
--- a/src/expertplace.cpp
+++ b/src/expertplace.cpp
@@ -245,7 +245,10 @@
     double sum = 0;
     std::size_t counted = 0;
     for (auto const& set : sets) {
-        double const highest = *std::max_element(set.load.begin(), set.load.end());
+        double highest = 0;
+        for (double const one : set.load) {
+            highest = std::max(highest, one);
+        }
         if (highest > 0) { // the demand of a set sums to 1
             sum += highest * static_cast<double>(set.load.size());
             ++counted;
