Soak: clients outside the limits hold bodies at a gateway

64 clients hold bodies of 1 MiB that stop 20 bytes short; the gateway's peak of memory must stay within its settings (96 MB).

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,6 +15,7 @@
 - a request that ended three runners, or requests with a part in common that ended five, hardly reach others once
   processes in touch can know of it;
 - no request reaches a runner in a zone later than EVACUATION after its evacuation was acknowledged;
+- a gateway stays within the memory of its settings while clients hold bodies that stop short of their end;
 - an acknowledged configuration is never lost or shown in an older state;
 - once the faults end, all of it is served again;
 - with --stops: a request that was passed on gets a complete answer though its gateway is terminated.
@@ -57,6 +58,8 @@
 PROMISES = (408, 421, 429, 503)
 MAX_ATTEMPTS = 2
 ZONES = ("a", "b", "c")
+GATEWAY_MB = 96  # of each gateway's settings
+CROWD, CROWD_BODY = 64, 1 << 20  # clients that hold a body which stops short of its end, and its bytes
 EVACUATION = 5.0  # seconds until an acknowledged evacuation is obeyed
 
 
@@ -123,6 +126,14 @@
             await asyncio.sleep(0.02)
         return not self.alive()
 
+    def peak_bytes(self):
+        """Highest resident memory of the running process; 0 once it has ended."""
+        try:
+            status = pathlib.Path(f"/proc/{self.child.pid}/status").read_text()
+        except OSError:
+            return 0
+        return next((int(line.split()[1]) * 1024 for line in status.splitlines() if line.startswith("VmHWM:")), 0)
+
     def trouble(self, seconds):
         self.troubled_until = max(self.troubled_until, time.monotonic() + seconds)
 
@@ -157,7 +168,8 @@
             ip = f"{self.own_net}.1.{n}"
             ports = {"frontend": FRONT_PORT, "readiness": READY_PORT, "directory_service": DIRECTORY_PORT}
             listen = "listen: " + json.dumps({name: f"{ip}:{port}" for name, port in ports.items()})
-            self.add("gateway", f"edge-{n}", ip, ZONES[n % 3], [listen, "data_dir: null"])
+            limits = f"limits: {{memory_mb: {GATEWAY_MB}, file_descriptors: 1000}}"
+            self.add("gateway", f"edge-{n}", ip, ZONES[n % 3], [listen, "data_dir: null", limits])
         if stops:
             stopping.add_targets(self, TARGET_PORT)
             return
@@ -491,6 +503,7 @@
             self.lose_orders,
             self.change_config,
             self.evacuate,
+            self.hold_bodies,
         ]
 
     def pick(self, roles=("registrar", "gateway", "rank-agent")):
@@ -718,6 +731,26 @@
             self.fleet.ledger.violate(f"the end of the evacuation of {zone} was not acknowledged in {RECOVERY} s")
         self.evacuating = False
 
+    async def hold_bodies(self):
+        """Clients outside the limits hold bodies at a gateway that stop just short of their end."""
+        one = self.pick(("gateway",))
+        if one is None:
+            return
+        head = f"POST /order/1 HTTP/1.1\r\nHost: {HOST}\r\nCredential: {KEY}\r\nContent-Length: {CROWD_BODY}\r\n\r\n"
+        held = []
+        for _ in range(CROWD):
+            try:
+                _, writer = await asyncio.wait_for(asyncio.open_connection(one.ip, FRONT_PORT), timeout=1.0)
+            except (OSError, asyncio.TimeoutError):
+                break
+            writer.write(head.encode() + b"x" * (CROWD_BODY - 20))
+            held.append(writer)
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        for writer in held:
+            writer.transport.abort()
+        if one.peak_bytes() > GATEWAY_MB * 1_000_000:
+            self.fleet.ledger.violate(f"{one.name} held {one.peak_bytes()} bytes of {GATEWAY_MB} MB")
+
 
 # Calls that are to be answered in a row, some with a path that others have too.
 WANTED = [("draft", None), ("order", None), ("status", None), ("draft", "/draft/hot"), ("order", None), ("status", "/status/hot")]
