--- a/tests/gateway_cold_test.cpp
+++ b/tests/gateway_cold_test.cpp
@@ -480,9 +480,9 @@
     CHECK(interval == owner.cold_pace.window / 2);
     return_plan plan;
     constexpr std::chrono::seconds left{30};
-    std::vector<milliseconds> delays;
-    for (int caller = 0; caller < 3; ++caller) {
-        delays.push_back(plan_return(plan, interval, left, owner.random, now));
+    std::vector<milliseconds> delays(3);
+    for (auto& delay : delays) {
+        delay = plan_return(plan, interval, left, owner.random, now);
     }
     CHECK(delays[0] >= milliseconds{1'000});
     for (std::size_t caller = 1; caller < delays.size(); ++caller) {
--- a/tests/gateway_place_test.cpp
+++ b/tests/gateway_place_test.cpp
@@ -142,8 +142,9 @@
             }
             double const before = place_skew(map, demand);
             rank_paces paces(group.ranks, 1.0);
-            for (unsigned rank = 0; rank < slow_ranks; ++rank) {
-                paces[rank * 20] = planned_pace(slowdown);
+            constexpr std::size_t distance = 20;
+            for (std::size_t slow = 0; slow < slow_ranks; ++slow) {
+                paces[slow * distance] = planned_pace(slowdown);
             }
             double const unplanned = place_skew(map, demand, paces);
             for (int change = 0; change < 4; ++change) {
