Soak: only its own gateways get the memory of a small machine

The tests of callers outside the limits start gateways through the soak's Fleet and add limits of their own; with two such lines in a settings file the first one counts.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -168,8 +168,8 @@
             ip = f"{self.own_net}.1.{n}"
             ports = {"frontend": FRONT_PORT, "readiness": READY_PORT, "directory_service": DIRECTORY_PORT}
             listen = "listen: " + json.dumps({name: f"{ip}:{port}" for name, port in ports.items()})
-            limits = f"limits: {{memory_mb: {GATEWAY_MB}, file_descriptors: 1000}}"
-            self.add("gateway", f"edge-{n}", ip, ZONES[n % 3], [listen, "data_dir: null", limits])
+            limits = [] if stops else [f"limits: {{memory_mb: {GATEWAY_MB}, file_descriptors: 1000}}"]
+            self.add("gateway", f"edge-{n}", ip, ZONES[n % 3], [listen, "data_dir: null", *limits])
         if stops:
             stopping.add_targets(self, TARGET_PORT)
             return
