--- a/src/passmodel.h
+++ b/src/passmodel.h
@@ -46,8 +46,8 @@
     double expert_fraction{0};         ///< share of `per_stream` that experts do
     double usual_passes{0};            ///< of a stream of usual length; 0: unknown
     bool grouped{false};               ///< its targets are ranks of groups
-    /// Its routes differ in priority, so that room is left for the urgent ones: the limit follows
-    /// the long passes of a single change of demand.
+    /// Its streaming routes differ in priority. Late urgent requests lose most of their worth, so
+    /// the limit follows the long passes of a single change of demand.
     bool urgent_routes{false};
 };
 
--- a/src/targetchoice.h
+++ b/src/targetchoice.h
@@ -141,7 +141,7 @@
 enum class target_exclusion : std::uint8_t {
     none,
     not_ready, ///< it drains, leaves or has departed
-    tried,     ///< the request was sent there and must not be again, or may only go elsewhere
+    tried,     ///< the request must not be sent there again, or only where it was sent before
     evacuated_zone,
     foreign_region,
     paused, ///< it asked this gateway to send nothing for a while
