A settings file with a key that stands twice is refused

Before, the first of its values counted without a word. The error names the key with those that lead to it.

--- a/tests/gateway_platform_test.cpp
+++ b/tests/gateway_platform_test.cpp
@@ -231,6 +231,22 @@
     CHECK_FALSE(platform::decode_settings("a: [b\n"));
 }
 
+// Regression: of two values for one key the first one counted, without a word.
+TEST_CASE("a settings file with a key that stands twice is refused, and the error names the key") {
+    std::string const text = "ip: \"1.2.3.4\"\ninternal_ports: [8240, 8256]\n"
+                             "limits: {memory_mb: 256}\nbounds:\n  grace_s: 8\n";
+    REQUIRE(platform::decode_settings(text));
+    for (auto const& [addition, key] :
+         {std::pair{"ip: \"1.2.3.5\"\n", "ip"}, std::pair{"  grace_s: 9\n", "bounds.grace_s"},
+          std::pair{"extra: [{a: 1, a: 2}]\n", "extra.a"}}) {
+        CAPTURE(addition);
+        auto const settings = platform::decode_settings(text + addition);
+        REQUIRE_FALSE(settings);
+        CHECK(settings.error().message.find(std::string{"\""} + key + "\"") != std::string::npos);
+    }
+    CHECK(platform::decode_settings(text + "itself: &itself [*itself]\n"));
+}
+
 // Decoders must accept or reject any bytes from outside without a crash or an uncaught exception.
 TEST_CASE("damaged input never crashes a decoder") {
     rng random{9};
