Soak: targets of the order service come back cold, and become cold at any moment

A target that starts again is cold for 3 s, the new fault 'chill' makes one cold without a start, and the service declares 2 requests a second. More than 5 requests within a second at a cold target break a promise; counted are those whose callers sent them in that second, so that what a stopped process or a slow link held does not count as a crowd. In a target that becomes cold without a start they count after 1.5 s.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,6 +15,7 @@
 - a request that ended three runners, or requests with a part in common that ended five, hardly reach others once
   processes in touch can know of it;
 - no request reaches a runner in a zone later than EVACUATION after its evacuation was acknowledged;
+- a cold runner gets no more requests in a second than its service declares;
 - a gateway stays within the memory of its settings while clients hold bodies that stop short of their end;
 - an acknowledged configuration is never lost or shown in an older state;
 - once the faults end, all of it is served again;
@@ -38,6 +39,7 @@
 import tempfile
 import time
 
+import cold
 import crashing
 import standins
 import stopping
@@ -90,7 +92,8 @@
             f"heartbeat_ms: {int(HEARTBEAT * 1000)}",
             "fault_tolerance: {machines: 1, zones: 0, regions: 0}",
             f"bounds: {{drain_ms: 2000, grace_s: {GRACE}, config_apply_ms: 2000, stall_ms: 1500, ttl_max_s: 5,"
-            " retry_budget_ratio: 0.2, retry_allowance: 92, budget_window_s: 10}",
+            f" retry_budget_ratio: 0.2, retry_allowance: 92, budget_window_s: 10,"
+            f" cold_overage: {cold.OVERAGE}, cold_allowance: {cold.ALLOWANCE}}}",
             *self.extra,
         ]
         path = self.fleet.folder / f"{self.name}.yaml"
@@ -158,6 +161,7 @@
         self.crashing = {one.path: one for one in (crashing.CrashingRequest(self, name) for name in crashing.PAUSES)}
         self.deadly_part = crashing.DeadlyPart(self)
         self.sent_at = {}  # attempt -> gateway to which its caller sent it
+        self.begun_at = {}  # attempt -> when its caller sent it
         self.seeds = [f"{self.own_net}.0.{n}:{CONTROL_PORT}" for n in range(1, 4)]
         for n in range(1, 4):
             data = folder / f"data-{n}"
@@ -185,9 +189,9 @@
                 extra = ["listen: {}", "data_dir: null", f"app: '{self.proxy_net}.0.{n}:{TARGET_PORT}'", "service: model"]
                 self.add("rank-agent", f"side-{n}", f"{self.own_net}.2.{n}", zone, extra)
         for n in range(1, 3):
-            self.targets.append(
-                standins.Target(self, f"o{n}", f"{self.target_net}.1.{n}", TARGET_PORT, "orders", ZONES[n % 3])
-            )
+            one = standins.Target(self, f"o{n}", f"{self.target_net}.1.{n}", TARGET_PORT, "orders", ZONES[n % 3])
+            one.starts_cold = True
+            self.targets.append(one)
 
     def add(self, role, name, ip, zone, extra):
         self.processes.append(Process(self, role, name, ip, zone, extra))
@@ -251,7 +255,13 @@
             ],
             "services": [
                 {"name": "model", "health_check_path": "/healthz", "max_connections": 400, "inference_engine": engine},
-                {"name": "orders", "health_check_path": "/healthz", "max_connections": 100},
+                {
+                    "name": "orders",
+                    "health_check_path": "/healthz",
+                    "max_connections": 100,
+                    "cold_start_s": cold.SECONDS,
+                    "cold_per_s": cold.PER_S,
+                },
             ],
             "limits": {
                 "max_header_bytes": 16384,
@@ -378,7 +388,7 @@
         path = path or f"/{route}/{self.number}/{self.calls}"
         self.ledger.repeatable[attempt] = route != "order"
         self.fleet.sent_at[attempt] = gateway
-        begun = time.monotonic()
+        self.fleet.begun_at[attempt] = begun = time.monotonic()
         try:
             reader, writer = await self.connect(address)
         except (OSError, asyncio.TimeoutError):
@@ -504,6 +514,7 @@
             self.change_config,
             self.evacuate,
             self.hold_bodies,
+            self.chill,
         ]
 
     def pick(self, roles=("registrar", "gateway", "rank-agent")):
@@ -731,6 +742,12 @@
             self.fleet.ledger.violate(f"the end of the evacuation of {zone} was not acknowledged in {RECOVERY} s")
         self.evacuating = False
 
+    async def chill(self):
+        """A runner of orders becomes cold without a new start."""
+        target = self.order_target()
+        if target.up and not target.cold.left():
+            target.cold.begin(cold.NOTICE)
+
     async def hold_bodies(self):
         """Clients outside the limits hold bodies at a gateway that stop just short of their end."""
         one = self.pick(("gateway",))
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -12,6 +12,7 @@
 import time
 import weakref
 
+import cold
 import crashing
 
 READ_LIMIT = 1 << 20  # bytes of one message
@@ -225,9 +226,13 @@
         self.active = 0
         self.slots = SLOTS
         self.troubled_at = 0.0  # its link was cut or reset
+        self.starts_cold = False  # but for its first start, which comes before the traffic
+        self.cold = cold.Cold(fleet)
 
     async def start(self):
         self.starts += 1
+        if self.starts_cold and self.starts > 1:
+            self.cold.begin()
         self.born = int(time.time() * 1000)
         self.instance = f"i-{self.name}-{self.starts}"
         self.sequence = 0
@@ -287,7 +292,8 @@
         """Answers one request. Returns whether the connection stays open."""
         if path == "/healthz":
             bad = self.lying_health or self.state != "ready"
-            write_answer(writer, 503 if bad else 200, [f"Instance-Id: {self.instance}", self.load()])
+            fields = [f"Instance-Id: {self.instance}", self.load(), f"Cold-Start-Ms: {int(1000 * self.cold.left())}"]
+            write_answer(writer, 503 if bad else 200, fields)
             return True
         if path.startswith("/-/"):
             return await self.answer_control(method, path, body, writer)
@@ -295,6 +301,7 @@
         if not attempt:
             write_answer(writer, 400, ["Not-Executed: 1"])
             return True
+        self.cold.arrive(self, attempt)
         if fields.get("expected-instance", self.instance) != self.instance:
             write_answer(writer, 421, ["Not-Executed: 1", f"Instance-Id: {self.instance}"])
             return True
@@ -355,7 +362,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": int(1000 * self.cold.left()),
             "sequence": self.sequence,
             "born": self.born,
         }
