Outsiders: the kernel's buffers of their connections are bounded by the machine's memory

Cause: what outsiders send behind a request that is being answered, and what they do not read of an answer, waits in the kernel, 300 to 500 KB for each connection, outside the account of the process. On a machine of 256 MB with 1,000 descriptors, 600 connections hold 180 MB and more beside the 128 MB that the process may hold.

Change: listeners give their connections buffers whose sum is at most half of what outsiders may hold in the process, 16 KiB in each direction at least. Only where the settings name memory and descriptors.

--- a/src/eventloop.cpp
+++ b/src/eventloop.cpp
@@ -141,8 +141,9 @@
     if (limits.bytes > 0) {
         return_large_blocks();
     }
-    log_event(events::outsider_limits,
-              {{"bytes", limits.bytes}, {"connections", limits.connections}});
+    log_event(events::outsider_limits, {{"bytes", limits.bytes},
+                                        {"connections", limits.connections},
+                                        {"socket_buffer", limits.socket_buffer}});
 }
 
 void report_outsiders(event_loop& loop, metrics_registry& registry) {
--- a/src/httplistener.cpp
+++ b/src/httplistener.cpp
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <charconv>
 #include <deque>
+#include <limits>
 #include <optional>
 #include <set>
 #include <utility>
@@ -787,6 +788,21 @@
     });
 }
 
+namespace {
+
+// Connections inherit the sizes. The kernel lowers those over its own limit.
+void limit_socket_buffers(tcp::acceptor& acceptor, std::size_t bytes) {
+    if (bytes == 0) {
+        return;
+    }
+    auto const size =
+        static_cast<int>(std::min<std::size_t>(bytes, std::numeric_limits<int>::max()));
+    acceptor.set_option(net::socket_base::receive_buffer_size{size});
+    acceptor.set_option(net::socket_base::send_buffer_size{size});
+}
+
+} // namespace
+
 result<std::shared_ptr<http_listener>>
 http_listener::open(net::io_context& loop, std::string const& address, runtime_clock const& clock,
                     request_handler handler, std::shared_ptr<body_admission> admission) {
@@ -797,6 +813,7 @@
     try {
         impl->acceptor.open(endpoint.protocol());
         impl->acceptor.set_option(net::socket_base::reuse_address{true});
+        limit_socket_buffers(impl->acceptor, impl->admission->budget.limits.socket_buffer);
         impl->acceptor.bind(endpoint);
         impl->acceptor.listen();
     } catch (boost::system::system_error const& failed) {
--- a/src/memorybudget.cpp
+++ b/src/memorybudget.cpp
@@ -16,6 +16,11 @@
 // The rest is for connections to targets and peers.
 constexpr std::size_t connection_quarters = 3;
 constexpr std::size_t quarters = 4;
+// The kernel holds at most half as much as the process, all connections, directions and the
+// doubling counted.
+constexpr std::size_t socket_buffer_divisor = 8;
+// Less would slow down ordinary callers that are far away.
+constexpr std::size_t min_socket_buffer = 16 << 10;
 // A value of nlohmann::json with its share of the container, by measured peaks of dense texts.
 constexpr std::size_t bytes_per_separator = 64;
 constexpr int large_block_bytes = 256 << 10;
@@ -31,6 +36,10 @@
         auto const free = file_descriptors - std::min(file_descriptors, file_descriptors_reserved);
         out.connections = std::max<std::size_t>(1, free / quarters * connection_quarters);
     }
+    if (out.bytes > 0 && out.connections > 0) {
+        out.socket_buffer =
+            std::max(min_socket_buffer, out.bytes / socket_buffer_divisor / out.connections);
+    }
     return out;
 }
 
--- a/src/memorybudget.h
+++ b/src/memorybudget.h
@@ -12,6 +12,8 @@
 struct memory_limits {
     std::size_t bytes{0};       ///< of all their requests, responses and connections together
     std::size_t connections{0}; ///< at all listeners together
+    /// What the kernel may hold in each direction of a connection, as it is told: it takes twice.
+    std::size_t socket_buffer{0};
 };
 
 /// Derives the limits from those of the process.
--- a/tests/caller_memory_test.py
+++ b/tests/caller_memory_test.py
@@ -37,6 +37,7 @@
 OPERATOR_BODY = 16 * MIB  # the largest legal body of the operator
 SHORT = 20  # bytes that a body stops before its end
 BODIES, OPERATOR_BODIES, READERS, SILENT = 60, 20, 60, 600
+WAITING, SMALL_GATEWAY_MB, UNREAD_GATEWAY_MB = 140, 48, 80
 TINY_BODIES, TINY_BODY, TINY_GATEWAY_MB = 40, 2 * MIB, 64  # 1-byte chunks: six bytes sent for each of the body
 ENDLESS = 24 * MIB  # of a body without an end, far over any limit
 ANSWER = 8 * MIB  # of a target to a reader that does not read
@@ -125,6 +126,12 @@
     yield body
 
 
+def behind(path):
+    """A small request, and what is no request behind it while it is being answered."""
+    yield request_head("POST", path, "Content-Length: 2", *attempt_fields()) + b"xx"
+    yield from pieces_of(ENDLESS, MIB)
+
+
 def unread(path):
     yield request_head("GET", path, *attempt_fields())
 
@@ -182,11 +189,19 @@
             one.close()
 
 
+def kernel_bytes(ip, port):
+    """What the kernel holds for the connections of a listening address: not read yet, or not acknowledged."""
+    local = f"{int.from_bytes(socket.inet_aton(ip), sys.byteorder):08X}:{port:04X}"
+    rows = [line.split() for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    return sum(int(part, 16) for row in rows if row[1] == local for part in row[4].split(":"))
+
+
 class Watch:
-    """Samples the open descriptors of a process; the kernel keeps the peak of its memory."""
+    """Samples the open descriptors of a process and what the kernel holds for its outsiders; the kernel keeps the peak
+    of its memory."""
 
-    def __init__(self, process):
-        self.process, self.descriptors, self.ended = process, 0, threading.Event()
+    def __init__(self, process, port):
+        self.process, self.port, self.descriptors, self.kernel, self.ended = process, port, 0, 0, threading.Event()
         self.thread = threading.Thread(target=self.run)
         self.thread.start()
 
@@ -196,6 +211,7 @@
                 self.descriptors = max(self.descriptors, len(os.listdir(f"/proc/{self.process.child.pid}/fd")))
             except OSError:
                 return
+            self.kernel = max(self.kernel, kernel_bytes(self.process.ip, self.port))
 
     def peak_bytes(self):
         for line in pathlib.Path(f"/proc/{self.process.child.pid}/status").read_text().splitlines():
@@ -297,8 +313,8 @@
                 peak, since = watch.peak_bytes(), time.monotonic()
             await asyncio.sleep(0.1)
 
-    async def play(self, process, port, make, count, check, megabytes, receive_bytes=None):
-        watch = Watch(process)
+    async def play(self, process, port, make, count, check, megabytes, receive_bytes=None, with_kernel=False):
+        watch = Watch(process, port)
         crowd = Crowd((process.ip, port), make, count, receive_bytes)
         try:
             await asyncio.to_thread(crowd.run)
@@ -308,9 +324,9 @@
             crowd.close()
             watch.end()
         self.assertTrue(process.alive(), "the process ended")
-        peak = watch.peak_bytes() / MEGABYTE
+        peak = (watch.peak_bytes() + (watch.kernel if with_kernel else 0)) / MEGABYTE
         print(
-            f"{self._testMethodName}: peak {peak:.1f} MB of {megabytes}, descriptors {watch.descriptors} of {DESCRIPTORS}, "
+            f"{self._testMethodName}: peak {peak:.1f} MB of {megabytes}, in the kernel {watch.kernel / MEGABYTE:.1f}, descriptors {watch.descriptors} of {DESCRIPTORS}, "
             f"crowd sent {crowd.sent / MEGABYTE:.0f} MB, {crowd.closed} of {count} closed while they sent",
             flush=True,
         )
@@ -332,7 +348,7 @@
         await self.start()
         for _ in range(5):
             await self.check_gateway(BODY)
-        watch = Watch(self.gateway)
+        watch = Watch(self.gateway, soak.FRONT_PORT)
         watch.end()
         self.assertLessEqual(watch.peak_bytes() / MEGABYTE, GATEWAY_MB)
 
@@ -365,6 +381,12 @@
     async def test_unread(self):
         await self.play_gateway(lambda: unread("/order/large"), READERS, receive_bytes=4096)
 
+    async def test_behind(self):
+        await self.play_gateway(lambda: behind("/order/slow"), WAITING, SMALL_GATEWAY_MB, with_kernel=True)
+
+    async def test_unread_in_kernel(self):
+        await self.play_gateway(lambda: unread("/order/large"), WAITING, UNREAD_GATEWAY_MB, with_kernel=True)
+
     async def test_operator_bodies(self):
         await self.play_registrar(lambda: whole("/-/Config.Replace", OPERATOR_BODY))
 
--- a/tests/gateway_bodyadmission_test.cpp
+++ b/tests/gateway_bodyadmission_test.cpp
@@ -67,6 +67,23 @@
     CHECK(missing_bytes(budget, 2 * largest_body, false) == 0);
 }
 
+// What waits in the kernel counts as memory of the machine, too.
+TEST_CASE("sockets of all connections hold at most half as much as the process may") {
+    for (auto const& [memory, descriptors] : {std::pair{std::size_t{48}, std::size_t{400}},
+                                              std::pair{std::size_t{256}, std::size_t{1'000}},
+                                              std::pair{std::size_t{4'096}, std::size_t{4'096}}}) {
+        CAPTURE(memory);
+        auto const limits = limits_of_process(memory * megabyte, descriptors);
+        constexpr std::size_t directions = 2;
+        constexpr std::size_t kernel_factor = 2;
+        CHECK(limits.socket_buffer >= 16 << 10);
+        CHECK(limits.connections * limits.socket_buffer * directions * kernel_factor <=
+              limits.bytes / 2);
+    }
+    CHECK(limits_of_process(0, 400).socket_buffer == 0);
+    CHECK(limits_of_process(megabyte, 0).socket_buffer == 0);
+}
+
 TEST_CASE("large bodies leave room to small requests") {
     memory_budget const budget{{40 * megabyte, 0}, 30 * megabyte};
     CHECK(missing_bytes(budget, megabyte, false) == megabyte);
