--- a/tests/caller_memory_test.py
+++ b/tests/caller_memory_test.py
@@ -4,7 +4,8 @@
 many connections holds a body that stops short of its end, sends nothing, or does not read its answer. Each variant
 starts three registrars, one gateway and one target on loopback addresses, lets one crowd of connections stay open, and
 checks the peak of memory (VmHWM), the peak of open descriptors, that the processes live, and that an ordinary request
-is answered while the crowd is still there. No check depends on the machine's speed.
+is answered while the crowd is still there. Two variants add what the kernel holds for the gateway's callers to its
+memory. No check depends on the machine's speed.
 
 Run one variant: caller_memory_test.py NAME, as ctest does. Without a name it runs all, one after the other.
 """
@@ -326,7 +327,8 @@
         self.assertTrue(process.alive(), "the process ended")
         peak = (watch.peak_bytes() + (watch.kernel if with_kernel else 0)) / MEGABYTE
         print(
-            f"{self._testMethodName}: peak {peak:.1f} MB of {megabytes}, in the kernel {watch.kernel / MEGABYTE:.1f}, descriptors {watch.descriptors} of {DESCRIPTORS}, "
+            f"{self._testMethodName}: peak {peak:.1f} MB of {megabytes}, {watch.kernel / MEGABYTE:.1f} MB in the kernel, "
+            f"descriptors {watch.descriptors} of {DESCRIPTORS}, "
             f"crowd sent {crowd.sent / MEGABYTE:.0f} MB, {crowd.closed} of {count} closed while they sent",
             flush=True,
         )
--- a/tests/gateway_bodyadmission_test.cpp
+++ b/tests/gateway_bodyadmission_test.cpp
@@ -69,11 +69,13 @@
 
 // What waits in the kernel counts as memory of the machine, too.
 TEST_CASE("sockets of all connections hold at most half as much as the process may") {
-    for (auto const& [memory, descriptors] : {std::pair{std::size_t{48}, std::size_t{400}},
-                                              std::pair{std::size_t{256}, std::size_t{1'000}},
-                                              std::pair{std::size_t{4'096}, std::size_t{4'096}}}) {
-        CAPTURE(memory);
-        auto const limits = limits_of_process(memory * megabyte, descriptors);
+    struct machine {
+        std::size_t megabytes;
+        std::size_t descriptors;
+    };
+    for (auto const& one : {machine{48, 400}, machine{256, 1'000}, machine{4'096, 4'096}}) {
+        CAPTURE(one.megabytes);
+        auto const limits = limits_of_process(one.megabytes * megabyte, one.descriptors);
         constexpr std::size_t directions = 2;
         constexpr std::size_t kernel_factor = 2;
         CHECK(limits.socket_buffer >= 16 << 10);
--- a/tests/gateway_platform_test.cpp
+++ b/tests/gateway_platform_test.cpp
@@ -236,13 +236,14 @@
     std::string const text = "ip: \"1.2.3.4\"\ninternal_ports: [8240, 8256]\n"
                              "limits: {memory_mb: 256}\nbounds:\n  grace_s: 8\n";
     REQUIRE(platform::decode_settings(text));
-    for (auto const& [addition, key] :
+    for (auto const& one :
          {std::pair{"ip: \"1.2.3.5\"\n", "ip"}, std::pair{"  grace_s: 9\n", "bounds.grace_s"},
           std::pair{"extra: [{a: 1, a: 2}]\n", "extra.a"}}) {
-        CAPTURE(addition);
-        auto const settings = platform::decode_settings(text + addition);
+        auto const key = std::string{"\""} + one.second + "\"";
+        CAPTURE(key);
+        auto const settings = platform::decode_settings(text + one.first);
         REQUIRE_FALSE(settings);
-        CHECK(settings.error().message.find(std::string{"\""} + key + "\"") != std::string::npos);
+        CHECK(settings.error().message.find(key) != std::string::npos);
     }
     CHECK(platform::decode_settings(text + "itself: &itself [*itself]\n"));
 }
