Review, scripts: a run that cannot be judged ends with 2

Cause: an exception of the script itself, or a first order without an acknowledgement, ended it with 1 as if the rule were broken.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -8,7 +8,7 @@
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
-from lab2 import TROUBLE, exchange, main, post_bytes  # noqa: E402
+from lab2 import TROUBLE, CannotRun, exchange, main, post_bytes  # noqa: E402
 
 LATE = 4.0  # seconds from the restart to the arrival of the late heartbeat
 WATCH = 4.0  # seconds in which requests are judged
@@ -38,7 +38,7 @@
     leaving.beating.cancel()
     # It never reports `draining`, and goes on serving for as long as this script runs.
     if not await leaving.tell("Deregister", {"born": leaving.born}):
-        return "the departure was not acknowledged"
+        raise CannotRun("the departure was not acknowledged")
     left = time.monotonic()
     lab.note("the departure is acknowledged")
     await asyncio.sleep(0.3)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,7 +7,7 @@
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
-from lab2 import HEARTBEAT_MS, TROUBLE, exchange, main, post_bytes  # noqa: E402
+from lab2 import HEARTBEAT_MS, TROUBLE, CannotRun, exchange, main, post_bytes  # noqa: E402
 
 SERVICES = ["desk-one", "desk-two"]
 WATCH = 8.0  # seconds after config_apply_ms in which requests are judged
@@ -45,7 +45,7 @@
     status, _ = await lab.operator("POST", "/-/Config.Replace",
                                    lab.configuration(2, [lab.route("order", "idempotent", "desk-two")], SERVICES))
     if status != 200:
-        return "version 2 was not acknowledged"
+        raise CannotRun("version 2 was not acknowledged")
     lab.note("version 2 is acknowledged: the route goes to desk-two")
     await asyncio.sleep(lab.bounds["config_apply_ms"] / 1000)
     judged_from = time.monotonic()
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -7,7 +7,7 @@
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
-from lab2 import TROUBLE, main  # noqa: E402
+from lab2 import TROUBLE, CannotRun, main  # noqa: E402
 
 # Bounds of demands/bin-day-south-grown.toml, whose pages have evacuations.
 BOUNDS = {"contact_ms": 4000, "ack_timeout_ms": 5000, "evacuation_ms": 5000, "catch_up_s": 6, "drain_ms": 2500,
@@ -27,7 +27,7 @@
     for call in ("Begin", "Finish", "Begin"):
         status, _ = await lab.operator("POST", f"/-/Evacuations.{call}/{inside.zone}")
         if status != 200:
-            return f"{call} was not acknowledged"
+            raise CannotRun(f"{call} was not acknowledged")
         acknowledged = time.monotonic()
         # Without the disruption, each order comes when the last one can't be repeated any more.
         await asyncio.sleep(1.0 if TROUBLE else 6.0)
--- a/review/lab2.py
+++ b/review/lab2.py
@@ -429,7 +429,7 @@
         lab.note(f"result: {broken or 'the rule held'}")
         print(broken or "the rule held")
         result = 1 if broken else 0
-    except (CannotRun, asyncio.TimeoutError, OSError) as failed:
+    except Exception as failed:  # a fault of the script itself is no finding
         print(f"could not run: {type(failed).__name__} {failed}")
         if lab:
             lab.note(f"could not run: {type(failed).__name__} {failed}")
