--- a/src/orderagent.cpp
+++ b/src/orderagent.cpp
@@ -1,6 +1,7 @@
 #include "orderagent.h"
 
 #include "drain.h"
+#include "utf8.h"
 
 #include <nlohmann/json.hpp>
 
@@ -187,6 +188,9 @@
         abandon_target_order(state.applier, order.id);
         return std::nullopt;
     }
+    if (!is_utf8(result)) {
+        result = "the engine's answer is not UTF-8"; // the leader could not read the reply
+    }
     bool const succeeded = status == ok_status;
     if (succeeded) {
         change_loaded(state.loaded, order);
--- a/src/registrar.cpp
+++ b/src/registrar.cpp
@@ -708,14 +708,25 @@
                  {"from", from}});
 }
 
+void refuse_announcement(registrar_daemon& daemon, std::string_view type, std::string_view fault,
+                         incoming_request const& request, response_writer& writer) {
+    count(*daemon.metrics, "fireflycrank_announcements_refused_total",
+          "fault=\"" + std::string{fault} + "\"");
+    log_bounded(daemon.loop, events::message_malformed,
+                {{"type", type}, {"sender", request.remote_ip}, {"error", fault}});
+    writer.send(bad_request, {}, {});
+}
+
 void take_heartbeat(registrar_daemon& daemon, std::string const& id,
                     incoming_request const& request,
                     std::shared_ptr<response_writer> const& writer) {
     auto const said = platform::decode_heartbeat(id, request.body);
     if (!said || !parse_endpoint(said->address)) {
-        log_bounded(daemon.loop, events::message_malformed,
-                    {{"type", "heartbeat"}, {"sender", request.remote_ip}});
-        writer->send(bad_request, {}, {});
+        refuse_announcement(daemon, "heartbeat", "malformed", request, *writer);
+        return;
+    }
+    if (auto const fault = check_text(*said); fault != announcement_fault::none) {
+        refuse_announcement(daemon, "heartbeat", name_of(fault), request, *writer);
         return;
     }
     bool const urgent = apply_announcement(daemon.directory, *said, announcement_source::target,
@@ -734,6 +745,12 @@
 void take_deregistration(registrar_daemon& daemon, std::string const& id,
                          incoming_request const& request,
                          std::shared_ptr<response_writer> const& writer) {
+    target_announcement named;
+    named.id = id;
+    if (auto const fault = check_text(named); fault != announcement_fault::none) {
+        refuse_announcement(daemon, "deregistration", name_of(fault), request, *writer);
+        return;
+    }
     auto const gone =
         apply_departure(daemon.directory, id, platform::decode_departure_start(request.body),
                         wall_now(daemon.loop.clock), daemon_now(daemon));
@@ -811,6 +828,9 @@
 
 void on_departure(registrar_daemon& daemon, std::string const& from,
                   departure_notice const& notice) {
+    if (check_text(notice.target) != announcement_fault::none) {
+        return; // from a registrar that does not check it; never recorded
+    }
     if (apply_announcement(daemon.directory, notice.target, announcement_source::peer,
                            daemon_now(daemon))) {
         log_target(daemon, notice.target, from.c_str());
@@ -1021,6 +1041,8 @@
         report_outsiders(daemon.loop, *daemon.metrics);
         set_gauge(*daemon.metrics, "fireflycrank_targets_known", "",
                   static_cast<double>(daemon.directory.targets.size()));
+        set_gauge(*daemon.metrics, "fireflycrank_targets_evicted", "",
+                  static_cast<double>(daemon.directory.evicted));
         set_gauge(*daemon.metrics, "fireflycrank_configuration_version", "",
                   static_cast<double>(daemon.services.current.version));
         set_gauge(*daemon.metrics, "fireflycrank_evacuated_zones", "",
--- a/src/targetdirectory.cpp
+++ b/src/targetdirectory.cpp
@@ -1,6 +1,10 @@
 #include "targetdirectory.h"
 
+#include "utf8.h"
+
 #include <algorithm>
+#include <array>
+#include <tuple>
 
 namespace fireflycrank {
 
@@ -53,10 +57,74 @@
     return false;
 }
 
+std::array<std::string_view, 5> text_of(target_announcement const& announcement) {
+    return {announcement.id, announcement.service, announcement.address, announcement.zone,
+            announcement.version};
+}
+
+std::size_t text_bytes(target_announcement const& announcement) {
+    std::size_t bytes = 0;
+    for (auto const text : text_of(announcement)) {
+        bytes += text.size();
+    }
+    return bytes;
+}
+
+// Lower ranks are evicted first. A departure that was acknowledged outlasts a silent target.
+auto eviction_rank(target_record const& record) {
+    auto const& announcement = record.announcement;
+    bool const is_ready = announcement.state == target_phase::ready;
+    bool const never_announced = !is_ready && announcement.service.empty();
+    return std::tuple{!never_announced, !is_ready, record.last_heard};
+}
+
+// Evicts targets until one more with so much text fits.
+void make_room(target_directory& directory, std::size_t bytes) {
+    auto& targets = directory.targets;
+    std::size_t used = bytes;
+    for (auto const& [id, record] : targets) {
+        used += text_bytes(record.announcement);
+    }
+    while (!targets.empty() &&
+           (targets.size() >= directory.limits.targets || used > directory.limits.text_bytes)) {
+        auto const victim = std::min_element(
+            targets.begin(), targets.end(), [](auto const& left, auto const& right) {
+                return eviction_rank(left.second) < eviction_rank(right.second);
+            });
+        used -= text_bytes(victim->second.announcement);
+        targets.erase(victim);
+        ++directory.evicted;
+    }
+}
+
 } // namespace
 
+announcement_fault check_text(target_announcement const& announcement) {
+    if (text_bytes(announcement) > max_announcement_text) {
+        return announcement_fault::too_long;
+    }
+    auto const texts = text_of(announcement);
+    return std::all_of(texts.begin(), texts.end(), is_utf8) ? announcement_fault::none
+                                                            : announcement_fault::unreadable;
+}
+
+std::string_view name_of(announcement_fault fault) {
+    switch (fault) {
+    case announcement_fault::none:
+        return "none";
+    case announcement_fault::unreadable:
+        return "unreadable";
+    case announcement_fault::too_long:
+        return "too_long";
+    }
+    return "unknown";
+}
+
 bool apply_announcement(target_directory& directory, target_announcement const& announcement,
                         announcement_source source, time_point now) {
+    if (check_text(announcement) != announcement_fault::none) {
+        return false; // from a peer that does not check it
+    }
     auto const found = directory.targets.find(announcement.id);
     bool const known = found != directory.targets.end();
     if (known && !supersedes(announcement, found->second.announcement)) {
@@ -71,6 +139,9 @@
     }
     bool const affects_routing =
         !known || changes_routing(announcement, found->second.announcement);
+    if (!known) {
+        make_room(directory, text_bytes(announcement));
+    }
     auto& record = directory.targets[announcement.id];
     record.announcement = announcement;
     record.last_heard = now;
@@ -87,6 +158,9 @@
 
 target_announcement apply_departure(target_directory& directory, std::string const& id,
                                     wall_time started_at, wall_time wall_now, time_point now) {
+    if (!directory.targets.contains(id)) {
+        make_room(directory, id.size());
+    }
     auto& record = directory.targets[id];
     auto& announcement = record.announcement;
     bool const later_incarnation =
--- a/src/targetdirectory.h
+++ b/src/targetdirectory.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fireflycrank {
@@ -35,6 +36,23 @@
     bool operator==(target_announcement const&) const = default;
 };
 
+/// Size of the text of one announcement: id, service, address, zone and version together. Targets
+/// use some tens of bytes.
+inline constexpr std::size_t max_announcement_text = 2'048;
+
+/// Why an announcement cannot be taken.
+enum class announcement_fault : std::uint8_t {
+    none,
+    unreadable, ///< its text is not UTF-8
+    too_long    ///< its text exceeds `max_announcement_text`
+};
+
+/// Checks the text of an announcement. Any process may send one.
+announcement_fault check_text(target_announcement const& announcement);
+
+/// Name of a fault for logs and metrics.
+std::string_view name_of(announcement_fault fault);
+
 /// Directory entry of a target.
 struct target_record {
     target_announcement announcement;
@@ -44,11 +62,19 @@
     std::uint64_t announced_change{0};
 };
 
+/// Bounds of a directory. 600 targets that all start anew under other ids every 20 s stay below.
+struct directory_limits {
+    std::size_t targets{4'096};
+    std::size_t text_bytes{512U << 10U}; ///< of all announcements together
+};
+
 /// All targets by id. Departed targets are kept for a while, so that a late announcement does not
 /// add them again.
 struct target_directory {
     std::map<std::string, target_record> targets;
     std::uint64_t last_change{0};
+    directory_limits limits;
+    std::uint64_t evicted{0}; ///< targets that were dropped because of `limits`
 };
 
 /// Where this process received an announcement from.
@@ -65,7 +91,9 @@
     duration silent_retention{std::chrono::seconds{60}};
 };
 
-/// Updates the directory with an announcement; one that is older than the recorded one is ignored.
+/// Updates the directory with an announcement; one that is older than the recorded one, or that
+/// check_text() refuses, is ignored. A directory at its limits drops other targets for a new one:
+/// first departed ones that never announced themselves, then the one that was silent longest.
 /// @return true if the change affects routing and must be propagated at once
 bool apply_announcement(target_directory& directory, target_announcement const& announcement,
                         announcement_source source, time_point now);
