--- a/src/controlnode.cpp
+++ b/src/controlnode.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <filesystem>
 
 namespace fireflycrank {
 
@@ -137,14 +136,6 @@
     return ok();
 }
 
-// Syncs the parent as well, since a power loss may otherwise remove the new folder with all files
-// in it. The sync repeats at each start, because an earlier one may have ended before it.
-result<void> make_durable_folder(file_layer const& files, std::string const& folder) {
-    BOOST_OUTCOME_TRYV(files.make_folder(folder));
-    auto const parent = std::filesystem::path{folder}.parent_path().string();
-    return files.sync_folder(parent.empty() ? "." : parent);
-}
-
 result<void> recover(control_node& node) {
     BOOST_OUTCOME_TRYV(make_durable_folder(node.files, node.settings.folder));
     BOOST_OUTCOME_TRY(lock, node.files.lock(node.settings.folder + "/" + lock_name));
--- a/src/departures.cpp
+++ b/src/departures.cpp
@@ -12,11 +12,10 @@
     return !members.empty() && static_cast<std::size_t>(recorded) > members.size() / 2;
 }
 
-std::uint64_t begin_departure(departure_table& table, std::string const& self,
-                              target_announcement const& target, departure_settings const& settings,
-                              time_point now) {
+std::uint64_t begin_departure(departure_table& table, target_announcement const& target,
+                              departure_settings const& settings, time_point now) {
     auto const number = ++table.last_number;
-    table.pending[number] = {target, {self}, now, now + settings.timeout};
+    table.pending[number] = {target, {}, now, now + settings.timeout};
     return number;
 }
 
--- a/src/departures.h
+++ b/src/departures.h
@@ -1,7 +1,8 @@
 /// @file
 /// Acknowledges a target's departure notice only after a majority of the registrars has recorded
-/// it. Every gateway in contact with a majority then learns of the departure, even if the registrar
-/// that received the notice is partitioned from the others. Pure functions without I/O.
+/// it on disk. Every gateway in contact with a majority then learns of the departure, even if the
+/// registrar that received the notice is partitioned from the others, or if all of them were killed
+/// meanwhile. Pure functions without I/O.
 #pragma once
 
 #include "clock.h"
@@ -19,7 +20,7 @@
 /// A departure that no majority has recorded yet.
 struct pending_departure {
     target_announcement target;
-    std::set<std::string> recorded_by; ///< addresses of registrars, including this one
+    std::set<std::string> recorded_by; ///< addresses of registrars that have it on disk
     time_point resend_at{};
     time_point expires_at{};
 };
@@ -40,12 +41,10 @@
 /// @param members addresses of the voting registrars; if empty, there is no majority
 bool has_majority(pending_departure const& pending, std::vector<std::string> const& members);
 
-/// Adds a departure that only this registrar has recorded.
-/// @param self this registrar's address
+/// Adds a departure that no registrar has recorded yet.
 /// @return the departure's number
-std::uint64_t begin_departure(departure_table& table, std::string const& self,
-                              target_announcement const& target, departure_settings const& settings,
-                              time_point now);
+std::uint64_t begin_departure(departure_table& table, target_announcement const& target,
+                              departure_settings const& settings, time_point now);
 
 /// Work that advance() found.
 struct departure_actions {
--- a/src/directorywire.cpp
+++ b/src/directorywire.cpp
@@ -1,6 +1,7 @@
 #include "directorywire.h"
 
 #include "countcode.h"
+#include "departurelog.h"
 #include "directory.pb.h"
 
 #include <limits>
@@ -231,6 +232,21 @@
     return departure_notice{wired.number(), plain_of(wired.target())};
 }
 
+std::string serialize(stored_departure const& plain) {
+    wire::StoredDeparture wired;
+    fill(*wired.mutable_target(), plain.target);
+    wired.set_recorded_ms(
+        std::chrono::duration_cast<std::chrono::milliseconds>(plain.recorded_at.time_since_epoch())
+            .count());
+    return wired.SerializeAsString();
+}
+
+result<stored_departure> parse_stored_departure(std::string_view bytes) {
+    BOOST_OUTCOME_TRY(wired, parse_as<wire::StoredDeparture>(bytes));
+    return stored_departure{plain_of(wired.target()),
+                            wall_time{std::chrono::milliseconds{wired.recorded_ms()}}};
+}
+
 std::string serialize_recorded(std::uint64_t number) {
     wire::DepartureRecorded wired;
     wired.set_number(number);
--- a/src/events.h
+++ b/src/events.h
@@ -126,6 +126,8 @@
 inline constexpr log_event_kind rank_order_ended{734, "rank_order_ended", log_level::info};
 inline constexpr log_event_kind map_change_completed{735, "map_change_completed", log_level::warn};
 inline constexpr log_event_kind group_start_changed{745, "group_start_changed", log_level::info};
+inline constexpr log_event_kind departures_recovered{746, "departures_recovered", log_level::info};
+inline constexpr log_event_kind departure_log_failed{747, "departure_log_failed", log_level::error};
 
 } // namespace events
 
--- a/src/filelayer.cpp
+++ b/src/filelayer.cpp
@@ -180,6 +180,14 @@
     return layer;
 }
 
+// Syncs the parent as well, since a power loss may otherwise remove the new folder with all files
+// in it. The sync repeats at each start, because an earlier one may have ended before it.
+result<void> make_durable_folder(file_layer const& files, std::string const& folder) {
+    BOOST_OUTCOME_TRYV(files.make_folder(folder));
+    auto const parent = std::filesystem::path{folder}.parent_path().string();
+    return files.sync_folder(parent.empty() ? "." : parent);
+}
+
 result<void> replace_file(file_layer const& files, std::string const& folder,
                           std::string const& name, std::string_view bytes) {
     std::string const target = folder + "/" + name;
--- a/src/filelayer.h
+++ b/src/filelayer.h
@@ -52,6 +52,10 @@
 /// @return a layer whose operations may be called from one thread at a time
 file_layer posix_file_layer();
 
+/// Creates a folder and makes it durable.
+/// @return nothing, or `disk_failure`
+result<void> make_durable_folder(file_layer const& files, std::string const& folder);
+
 /// Replaces a file atomically, so that after a crash it holds either the old or the new content:
 /// writes and syncs a temporary file in the same folder, renames it and syncs the folder.
 /// @return nothing, or `disk_failure`
--- a/src/registrar.cpp
+++ b/src/registrar.cpp
@@ -4,7 +4,7 @@
 #include "consensuswire.h"
 #include "controlnode.h"
 #include "controltables.h"
-#include "departures.h"
+#include "departureservice.h"
 #include "directorysync.h"
 #include "directorywire.h"
 #include "engineclient.h"
@@ -101,8 +101,7 @@
     target_directory directory;
     directory_publisher publisher;
     directory_subscriber subscriber; ///< to the other registrars
-    departure_table departures;
-    std::map<std::uint64_t, std::shared_ptr<response_writer>> departing; ///< by departure number
+    departure_service departures;
 
     service_table services;
     evacuation_table evacuations;
@@ -491,7 +490,7 @@
 }
 
 owed_answers owed_by(registrar_daemon const& daemon) {
-    return {daemon.operator_calls.size() + daemon.departing.size(),
+    return {daemon.operator_calls.size() + daemon.departures.callers.size(),
             daemon.control->active_connections()};
 }
 
@@ -660,41 +659,31 @@
     return names;
 }
 
-void answer_departure(registrar_daemon& daemon, std::uint64_t number, unsigned status) {
-    auto const writer = daemon.departing.extract(number);
-    if (!writer.empty()) {
-        send_json(*writer.mapped(), status, empty_object);
+// Departures that earlier processes recorded are known before anybody is served.
+void take_recorded(registrar_daemon& daemon, std::vector<target_announcement> const& recorded) {
+    for (auto const& target : recorded) {
+        daemon.push_due = apply_announcement(daemon.directory, target, announcement_source::peer,
+                                             daemon_now(daemon)) ||
+                          daemon.push_due;
     }
-    log_bounded(daemon.loop, events::departure_settled,
-                {{"departure", number}, {"acknowledged", status == ok_status}});
 }
 
-void advance_departures(registrar_daemon& daemon) {
-    auto const actions = advance(daemon.departures, voters(daemon), {}, daemon_now(daemon));
-    for (auto const& [member, number] : actions.notices) {
-        if (member != daemon.address) {
-            auto const& target = daemon.departures.pending.at(number).target;
-            daemon.link->send(member, departure_type, serialize(departure_notice{number, target}));
-        }
-    }
-    for (auto const number : actions.acknowledged) {
-        answer_departure(daemon, number, ok_status);
-    }
-    for (auto const number : actions.failed) {
-        answer_departure(daemon, number, unavailable);
-    }
+void open_departures(registrar_daemon& daemon) {
+    daemon.departures.loop = &daemon.loop;
+    daemon.departures.address = daemon.address;
+    daemon.departures.voters = [&daemon] { return voters(daemon); };
+    daemon.departures.store = std::make_unique<departure_store>(
+        daemon.loop.context, posix_file_layer(), daemon.settings.data_folder + "/departures");
+    take_recorded(daemon, daemon.departures.store->open(wall_now(daemon.loop.clock)));
 }
 
-void begin_departing(registrar_daemon& daemon, target_announcement const& target,
-                     std::shared_ptr<response_writer> writer) {
+void settle_departure(registrar_daemon& daemon, target_announcement const& target,
+                      std::shared_ptr<response_writer> writer) {
     if (refuses_new(daemon)) {
         writer->send(unavailable, {}, {}); // the target asks another registrar
         return;
     }
-    auto const number =
-        begin_departure(daemon.departures, daemon.address, target, {}, daemon_now(daemon));
-    daemon.departing[number] = std::move(writer);
-    advance_departures(daemon);
+    begin_departing(daemon.departures, target, std::move(writer));
 }
 
 void log_target(registrar_daemon& daemon, target_announcement const& said, char const* from) {
@@ -739,7 +728,7 @@
         send_json(*writer, ok_status, empty_object);
         return;
     }
-    begin_departing(daemon, *said, writer);
+    settle_departure(daemon, *said, writer);
 }
 
 void take_deregistration(registrar_daemon& daemon, std::string const& id,
@@ -756,7 +745,7 @@
                         wall_now(daemon.loop.clock), daemon_now(daemon));
     log_target(daemon, gone, "target");
     push_updates(daemon);
-    begin_departing(daemon, gone, writer);
+    settle_departure(daemon, gone, writer);
 }
 
 void serve_control(registrar_daemon& daemon, incoming_request const& request,
@@ -818,8 +807,12 @@
                       !update.gone_daemons.empty();
     bool urgent = false;
     for (auto const& said : update.targets) {
-        urgent =
-            apply_announcement(daemon.directory, said, announcement_source::peer, at) || urgent;
+        if (apply_announcement(daemon.directory, said, announcement_source::peer, at)) {
+            urgent = true;
+            if (said.state != target_phase::ready) {
+                record_heard(daemon.departures, said);
+            }
+        }
     }
     if (urgent) {
         push_updates(daemon);
@@ -836,15 +829,7 @@
         log_target(daemon, notice.target, from.c_str());
         push_updates(daemon);
     }
-    daemon.link->send(from, departure_recorded_type, serialize_recorded(notice.number));
-}
-
-void on_recorded(registrar_daemon& daemon, std::string const& from, std::uint64_t number) {
-    auto const found = daemon.departures.pending.find(number);
-    if (found != daemon.departures.pending.end()) {
-        found->second.recorded_by.insert(from);
-        advance_departures(daemon);
-    }
+    record_for_peer(daemon.departures, from, notice);
 }
 
 void on_configuration_request(registrar_daemon& daemon, std::string const& from,
@@ -928,7 +913,8 @@
     }
     if (message.type == departure_recorded_type) {
         auto const number = parse_recorded(message.body);
-        return number && (on_recorded(daemon, message.sender, number.value()), true);
+        return number &&
+               (take_confirmation(daemon.departures, message.sender, number.value()), true);
     }
     if (message.type == configuration_request_type) {
         auto const above = parse_configuration_request(message.body);
@@ -968,10 +954,7 @@
 // Answers all that no majority has settled; what was proposed may still take effect.
 void refuse_waiting(registrar_daemon& daemon) {
     end_operator_calls(daemon, duration::zero());
-    while (!daemon.departing.empty()) {
-        answer_departure(daemon, daemon.departing.begin()->first, unavailable);
-    }
-    daemon.departures.pending.clear();
+    refuse_departures(daemon.departures);
 }
 
 // Ends the process once its answers are written, at the latest at the end of the plan.
@@ -1024,7 +1007,7 @@
         daemon.pool.expire_connections();
         tick_replica(daemon);
         send_beats(daemon);
-        advance_departures(daemon);
+        advance_departures(daemon.departures);
         refresh_list(daemon);
         if (daemon.push_due) {
             push_updates(daemon);
@@ -1036,6 +1019,9 @@
         times.silent_retention = forget_silent_target;
         remove_expired(daemon.directory, times, daemon_now(daemon));
         end_operator_calls(daemon, operator_patience);
+        daemon.departures.store->maintain(
+            wall_now(daemon.loop.clock),
+            [&daemon](auto const& recorded) { take_recorded(daemon, recorded); });
         daemon.control->enforce_timeouts();
         daemon.metrics_listener->enforce_timeouts();
         report_outsiders(daemon.loop, *daemon.metrics);
@@ -1059,6 +1045,7 @@
             on_message(daemon, message);
         }));
     daemon.link = link;
+    daemon.departures.link = link;
     limit_outsiders(daemon.loop, daemon.settings);
     BOOST_OUTCOME_TRY(control, http_listener::open(
                                    context, daemon.settings.listen.control, daemon.loop.clock,
@@ -1095,6 +1082,7 @@
     handle_signals(
         daemon.loop, [&daemon] { begin_stop(daemon); }, [&daemon] { reload(daemon); });
     open_replica(daemon);
+    open_departures(daemon);
     BOOST_OUTCOME_TRYV(open_listeners(daemon));
     watch_file(daemon.loop, settings_path, [&daemon] { reload(daemon); });
     start_periodic_work(daemon);
--- a/tests/gateway_directory_test.cpp
+++ b/tests/gateway_directory_test.cpp
@@ -352,7 +352,8 @@
 TEST_CASE("a departure is acknowledged by a majority only") {
     std::vector<std::string> const members{"a", "b", "c", "d", "e"};
     departure_table table;
-    auto const number = begin_departure(table, "a", announce("t", 1, 2), {}, at_ms(0));
+    auto const number = begin_departure(table, announce("t", 1, 2), {}, at_ms(0));
+    table.pending.at(number).recorded_by.insert("a");
     auto first = advance(table, members, {}, at_ms(0));
     CHECK(first.notices.size() == 4);
     CHECK(first.acknowledged.empty());
@@ -365,9 +366,11 @@
     CHECK(advance(table, members, {}, at_ms(300)).acknowledged.size() == 1);
     CHECK(table.pending.empty());
 
-    begin_departure(table, "a", announce("u", 1, 2), {}, at_ms(0));
+    auto const unanswered = begin_departure(table, announce("u", 1, 2), {}, at_ms(0));
+    table.pending.at(unanswered).recorded_by.insert("a");
     CHECK(advance(table, members, {}, at_ms(1'000)).failed.size() == 1);
-    begin_departure(table, "a", announce("v", 1, 2), {}, at_ms(0));
+    auto const without_members = begin_departure(table, announce("v", 1, 2), {}, at_ms(0));
+    table.pending.at(without_members).recorded_by.insert("a");
     CHECK(advance(table, {}, {}, at_ms(1)).acknowledged.empty());
 }
 
