--- a/src/evacuationtable.h
+++ b/src/evacuationtable.h
@@ -1,6 +1,6 @@
 /// @file
-/// The replicated table of evacuated availability zones, and how the leader recognizes a late copy
-/// of an operator's order. Pure.
+/// The replicated table of evacuated availability zones, and how long the leader must not take an
+/// operator's order because it may be a late copy of an earlier one. Pure.
 #pragma once
 
 #include "clock.h"
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace fireflycrank {
@@ -32,11 +33,11 @@
 struct evacuation_order {
     std::string zone;
     bool evacuate{false}; ///< false: the evacuation ends
-    bool copy{false};     ///< of an order that took effect before; changes nothing
+    bool copy{false};     ///< set by earlier versions for what may be a copy; changes nothing
 };
 
-/// A change of the table.
-struct evacuation_change {
+/// An applied order, whether it changed the table or found it so: copies of either may follow.
+struct applied_evacuation {
     std::string zone;
     bool evacuate{false};
     wall_time at; ///< the leader's wall time at the proposal
@@ -45,8 +46,11 @@
 /// The table.
 struct evacuation_table {
     evacuation_list current;
-    /// Changes that this replica applied and its owner has not taken yet; not replicated.
-    std::vector<evacuation_change> changes;
+    /// When the last order of each kind was applied, by zone and evacuation_order::evacuate. Kept
+    /// for some minutes, for replicas that get a snapshot in place of the orders.
+    std::map<std::pair<std::string, bool>, wall_time> last_orders;
+    /// Orders that this replica applied and its owner has not taken yet; not replicated.
+    std::vector<applied_evacuation> applied;
 };
 
 /// The zones of a list, separated by commas.
@@ -74,35 +78,34 @@
 /// Parses a list.
 result<evacuation_list> parse_evacuation_list(std::string_view bytes);
 
-/// A replica's memory of orders, by which it recognizes copies when it leads. An operator repeats
-/// an order that got no clear answer for a limited time, so a copy may arrive after the opposite
-/// order took effect. The time counts only while the replica runs: copies that wait in the sockets
-/// of a suspended leader must not outlast it.
+/// A replica's memory of orders, for when it leads. An operator repeats an order that got no clear
+/// answer for a limited time, so a copy may arrive after the opposite order took effect, and cannot
+/// be told from a new order. The time counts only while the replica runs: copies that wait in the
+/// sockets of a suspended leader must not outlast it.
 struct evacuation_memory {
     duration repeat_time{};  ///< an order is repeated for so long at most
     duration running_time{}; ///< for which this replica has run
     time_point noted_at{};   ///< `running_time` is of then
-    /// When the last change of each kind took effect, in `running_time`.
-    struct zone_changes {
-        std::map<bool, duration> effect_at; ///< by evacuation_order::evacuate
-    };
-    std::map<std::string, zone_changes> zones;
+    /// When the last order of each kind was applied, in `running_time`; by zone and
+    /// evacuation_order::evacuate.
+    std::map<std::pair<std::string, bool>, duration> applied_at;
     std::map<std::uint64_t, evacuation_order> pending; ///< proposed here; by request number
 };
 
 /// Advances the running time. To be called several times per second.
 void note_time(evacuation_memory& memory, time_point now);
 
-/// Records a change that this replica applied.
-/// @param wall this replica's wall time; a change that is much older, as after a restart, takes no
-/// part in the recognition of copies
-void note_change(evacuation_memory& memory, evacuation_change const& change, wall_time wall);
+/// Records an order that this replica applied.
+/// @param wall this replica's wall time; of an order that is much older, as after a restart, no
+/// copy is awaited
+void note_applied(evacuation_memory& memory, applied_evacuation const& applied, wall_time wall);
 
-/// Whether an order is taken for a late copy: it repeats the last but one of its zone, which took
-/// effect not long ago.
+/// How long an order must wait because it may be a late copy of an equal one, which the opposite
+/// order has overruled since. Whoever sent a copy has given up by then.
 /// @param list the table as applied
-bool is_late_copy(evacuation_memory const& memory, evacuation_list const& list,
-                  evacuation_order const& order);
+/// @return zero if the order can be taken now
+duration wait_for_copies(evacuation_memory const& memory, evacuation_list const& list,
+                         evacuation_order const& order);
 
 /// Whether an opposite order of the same zone is proposed and not settled, so that it cannot be
 /// told yet whether this one is a copy.
--- a/src/registrar.cpp
+++ b/src/registrar.cpp
@@ -1,9 +1,9 @@
 #include "registrar.h"
 
-#include "claimwire.h"
 #include "consensuswire.h"
 #include "controlnode.h"
 #include "controltables.h"
+#include "crashreportlog.h"
 #include "departureservice.h"
 #include "directorysync.h"
 #include "directorywire.h"
@@ -12,6 +12,7 @@
 #include "packedtext.h"
 #include "peeraddress.h"
 #include "peerlink.h"
+#include "platform/callheaders.h"
 #include "platform/engineprotocol.h"
 #include "platform/operatorconfig.h"
 #include "registrarstop.h"
@@ -251,14 +252,14 @@
 void answer_evacuation(registrar_daemon& daemon, operator_call const& call,
                        control_node_reply const& reply) {
     auto const list = parse_evacuation_list(reply.outcome.value());
-    if (!list) {
+    // Only what is in force is acknowledged.
+    if (!list || is_change(list.value(), *call.evacuation)) {
         call.writer->send(unavailable, {}, {});
         return;
     }
     log_bounded(daemon.loop, events::evacuation_ordered,
                 {{"zone", call.evacuation->zone},
                  {"evacuate", call.evacuation->evacuate},
-                 {"copy", call.evacuation->copy},
                  {"revision", list.value().revision},
                  {"zones", joined_zones(list.value())},
                  {"index", reply.index},
@@ -314,31 +315,6 @@
     send_json(*call.writer, ok_status, std::move(text).value());
 }
 
-std::string joined(std::vector<std::string> const& texts) {
-    std::string out;
-    for (auto const& text : texts) {
-        out += (out.empty() ? "" : ",") + text;
-    }
-    return out;
-}
-
-// Names the gateway and the crash behind a verdict.
-void log_recorded_report(registrar_daemon& daemon, crash_report_message const& report,
-                         std::string const& reply) {
-    auto const command = decode_quarantine_command(report.command);
-    auto const decided = decode_quarantine_reply(reply);
-    auto const* const crash =
-        command ? std::get_if<report_crash>(&command.value().action) : nullptr;
-    if (crash == nullptr || !decided) {
-        return;
-    }
-    log_bounded(daemon.loop, events::crash_recorded,
-                {{"gateway", report.gateway},
-                 {"crash", crash->crash_id},
-                 {"running", crash->running.size()},
-                 {"quarantined", joined(decided.value().quarantined)}});
-}
-
 // Tells the gateway that its report is in the log.
 void answer_crash_report(registrar_daemon& daemon, control_node_reply const& reply) {
     auto const found = daemon.crash_reports.find(reply.request);
@@ -354,7 +330,7 @@
                      {"reason", describe(reply.outcome.error())}});
         return; // the gateway sends it again
     }
-    log_recorded_report(daemon, report, reply.outcome.value());
+    log_recorded_report(daemon.loop, report, reply.outcome.value());
     daemon.link->send(report.gateway, crash_recorded_type, serialize_recorded(report.number));
 }
 
@@ -376,8 +352,8 @@
 
 // Gateways are told at once, as of a new configuration.
 void note_evacuations(registrar_daemon& daemon) {
-    for (auto const& change : std::exchange(daemon.evacuations.changes, {})) {
-        note_change(daemon.evacuation_orders, change, wall_now(daemon.loop.clock));
+    for (auto const& order : std::exchange(daemon.evacuations.applied, {})) {
+        note_applied(daemon.evacuation_orders, order, wall_now(daemon.loop.clock));
     }
     auto const revision = daemon.evacuations.current.revision;
     if (revision != std::exchange(daemon.last_evacuations, revision)) {
@@ -575,7 +551,8 @@
 }
 
 void order_evacuation(registrar_daemon& daemon, incoming_request const& request,
-                      evacuation_order order, std::shared_ptr<response_writer> const& writer) {
+                      evacuation_order const& order,
+                      std::shared_ptr<response_writer> const& writer) {
     if (!daemon.settings.zone_regions.contains(order.zone)) {
         log_bounded(daemon.loop, events::change_refused,
                     {{"zone", order.zone}, {"reason", "the settings name no such zone"}});
@@ -586,17 +563,30 @@
         redirect_to_leader(daemon, request, *writer);
         return;
     }
-    auto const refuse = [&](std::string const& reason) {
+    auto const refuse = [&](std::string const& reason, std::optional<duration> wait = {}) {
+        // Rounded up to what the header states, so that a repeat then is not early.
+        using centiseconds = std::chrono::duration<std::int64_t, std::centi>;
+        std::optional<std::chrono::milliseconds> ms;
+        if (wait) {
+            ms = std::chrono::ceil<centiseconds>(*wait);
+        }
         log_bounded(daemon.loop, events::change_refused,
-                    {{"zone", order.zone}, {"evacuate", order.evacuate}, {"reason", reason}});
-        writer->send(unavailable, {}, {});
+                    {{"zone", order.zone},
+                     {"evacuate", order.evacuate},
+                     {"reason", reason},
+                     {"retry_after_ms", ms ? ms->count() : 0}});
+        writer->send(unavailable, platform::gateway_response_headers({}, ms), {});
     };
     if (auto const* const obstacle = evacuation_obstacle(daemon, order)) {
         refuse(obstacle);
         return;
     }
     note_time(daemon.evacuation_orders, daemon_now(daemon));
-    order.copy = is_late_copy(daemon.evacuation_orders, daemon.evacuations.current, order);
+    auto const wait = wait_for_copies(daemon.evacuation_orders, daemon.evacuations.current, order);
+    if (wait > duration::zero()) {
+        refuse("may repeat an order that the opposite one overruled", wait);
+        return;
+    }
     auto const number = ++daemon.last_request;
     auto const submitted =
         submit(*daemon.node, number,
--- a/tests/control_evacuations_test.cpp
+++ b/tests/control_evacuations_test.cpp
@@ -1,5 +1,6 @@
-// The replicated table of evacuated zones and the recognition of late copies of orders.
+// The replicated table of evacuated zones, and orders that may be late copies of earlier ones.
 #include "control_fakes.h"
+#include "directory.pb.h"
 #include "evacuationtable.h"
 #include "servicetable.h"
 
@@ -30,7 +31,8 @@
         note_time(memory, at_ms(1));
     }
 
-    // Takes an order as the registrar does; returns whether it took effect.
+    // Takes an order as the registrar does; returns whether it took effect. What is acknowledged is
+    // in force, whether it took effect or was so before.
     bool take(evacuation_order order, std::int64_t ms) {
         for (auto step = now_ms; step < ms; step += 50) {
             note_time(memory, at_ms(step));
@@ -42,24 +44,40 @@
     bool take_after_pause(evacuation_order order, std::int64_t ms) {
         now_ms = ms;
         note_time(memory, at_ms(ms));
-        order.copy = is_late_copy(memory, table.current, order);
+        acknowledged = wait_for_copies(memory, table.current, order) == duration::zero();
+        if (!acknowledged) {
+            return false;
+        }
         auto const before = table.current.revision;
         apply(table, order, wall_at(ms));
-        note_changes(ms);
+        note_all_applied(ms);
+        CHECK_FALSE(is_change(table.current, order));
         return table.current.revision != before;
     }
 
-    void note_changes(std::int64_t ms) {
-        for (auto const& change : std::exchange(table.changes, {})) {
-            note_change(memory, change, wall_at(ms));
+    void note_all_applied(std::int64_t ms) {
+        for (auto const& order : std::exchange(table.applied, {})) {
+            note_applied(memory, order, wall_at(ms));
         }
     }
 
     evacuation_table table;
     evacuation_memory memory;
     std::int64_t now_ms{1};
+    bool acknowledged{false}; ///< the last order
 };
 
+// An operator that sends an order again every 100 ms, for as long as orders are repeated.
+bool insist(leading_replica& leader, evacuation_order const& order, std::int64_t from_ms) {
+    for (auto ms = from_ms; ms <= from_ms + 5'000; ms += 100) {
+        leader.take(order, ms);
+        if (leader.acknowledged) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 TEST_CASE("evacuations in series change the table, and repeats change nothing") {
@@ -82,14 +100,103 @@
     CHECK(leader.take(begin("a"), 1'000));
     CHECK(leader.take(finish("a"), 3'000));
     CHECK_FALSE(leader.take(begin("a"), 5'900));
+    CHECK_FALSE(leader.acknowledged); // as long as it may be a new order
     CHECK(leader.table.current.zones.empty());
     CHECK(leader.take(begin("a"), 6'100)); // no copy can be that late
     CHECK_FALSE(leader.take(finish("a"), 7'900));
+    CHECK_FALSE(leader.acknowledged);
     CHECK(leader.table.current.zones.contains("a"));
     // A copy in one zone says nothing about another one.
     CHECK(leader.take(begin("b"), 7'950));
 }
 
+// EVAC: the last order was acknowledged, and never in force.
+TEST_CASE(
+    "orders by turns in quick succession are all acknowledged, and the last one is in force") {
+    for (std::int64_t const pause : {50, 400, 1'000, 4'000, 6'000}) {
+        for (bool const finishes_first : {false, true}) {
+            CAPTURE(pause);
+            CAPTURE(finishes_first);
+            leading_replica leader;
+            std::int64_t ms = 1'000;
+            for (int number = 0; number < 7; ++number) {
+                bool const evacuates = number % 2 == (finishes_first ? 1 : 0);
+                CHECK(insist(leader, evacuates ? begin("a") : finish("a"), ms));
+                CHECK(leader.table.current.zones.contains("a") == evacuates);
+                ms = leader.now_ms + pause;
+            }
+        }
+    }
+}
+
+// The zone was as ordered already, so the order changed nothing, but its sender may repeat it.
+TEST_CASE("a late copy of an order that found the zone so does not undo the opposite one") {
+    leading_replica leader;
+    CHECK_FALSE(leader.take(finish("a"), 1'000));
+    CHECK(leader.acknowledged);
+    CHECK(leader.take(begin("a"), 2'000));
+    CHECK_FALSE(leader.take(finish("a"), 5'900));
+    CHECK_FALSE(leader.acknowledged);
+    CHECK(leader.table.current.zones.contains("a"));
+    CHECK_FALSE(leader.take(begin("a"), 5'950)); // a second operator's
+    CHECK(leader.acknowledged);
+    CHECK(leader.take(finish("a"), 6'050));
+    CHECK_FALSE(leader.take(begin("a"), 10'900));
+    CHECK(leader.take(begin("a"), 11'000));
+}
+
+TEST_CASE("the wait for copies is told to the operator") {
+    leading_replica leader;
+    CHECK(leader.take(begin("a"), 1'000));
+    CHECK(leader.take(finish("a"), 2'000));
+    CHECK_FALSE(leader.take(begin("a"), 3'000));
+    auto const wait = wait_for_copies(leader.memory, leader.table.current, begin("a"));
+    CHECK(wait == milliseconds{3'000});
+}
+
+// A replica that was sent a snapshot may lead a moment later.
+TEST_CASE("a replica with a snapshot awaits copies of the orders in it") {
+    leading_replica leader;
+    leader.take(begin("a"), 1'000);
+    leader.take(finish("a"), 2'000);
+    control_state state;
+    register_evacuations(state, leader.table);
+    leading_replica restored;
+    control_state other;
+    register_evacuations(other, restored.table);
+    REQUIRE(parse_tables(other, serialize_tables(state)));
+    restored.note_all_applied(2'500);
+    CHECK_FALSE(restored.take(begin("a"), 3'000));
+    CHECK_FALSE(restored.acknowledged);
+    // A snapshot of an earlier version has no times.
+    wire::EvacuationTable old;
+    old.set_revision(5);
+    old.add_zones("b");
+    evacuation_table table;
+    control_state plain;
+    register_evacuations(plain, table);
+    REQUIRE(plain.tables.at(evacuation_table_kind).parse(old.SerializeAsString()));
+    CHECK(table.current == evacuation_list{5, {"b"}});
+}
+
+TEST_CASE("the times of orders are forgotten after some minutes") {
+    evacuation_table table;
+    for (int number = 0; number < 100; ++number) {
+        apply(table, begin("zone-" + std::to_string(number)), wall_at(60'000 * number));
+    }
+    CHECK(table.last_orders.size() == 11);
+}
+
+// An earlier version that leads marks what may be a copy.
+TEST_CASE("an order that an earlier version marked as a copy changes nothing") {
+    evacuation_table table;
+    auto order = begin("a");
+    order.copy = true;
+    apply(table, order, wall_at(1'000));
+    CHECK(table.current == evacuation_list{});
+    CHECK(table.applied.empty());
+}
+
 // Guards against copies that waited in the sockets of a suspended leader.
 TEST_CASE("the time of a suspended leader does not count") {
     leading_replica leader;
@@ -110,7 +217,7 @@
     leading_replica restarted;
     for (auto const& order : {begin("a"), finish("a")}) {
         apply(restarted.table, order, wall_at(1'000));
-        restarted.note_changes(60'000);
+        restarted.note_all_applied(60'000);
     }
     CHECK(restarted.take(begin("a"), 61'000));
 }
--- a/tests/evacuation_orders_test.py
+++ b/tests/evacuation_orders_test.py
@@ -2,7 +2,7 @@
 
 Guards against orders that are acknowledged and not there after the process was killed, against refused repeats, and
 against a zone that nobody knows being accepted, and against orders that wait in the sockets of a suspended process and
-take effect when their sender has given up.
+take effect when their sender has given up, and against an order that is acknowledged and not in force.
 """
 import http.client
 import os
@@ -16,6 +16,7 @@
 
 PROGRAM = pathlib.Path(os.environ.get("FIREFLYCRANK_BIN", "build")) / "fireflycrank-platform"
 IP = f"127.78.{os.getpid() % 250}.1"
+REPEAT = 1.5  # seconds for which an order is repeated, of the settings
 
 
 def settings(data):
@@ -89,8 +90,11 @@
             self.check_accepted("/-/Evacuations.Begin/a")
             self.check_accepted("/-/Evacuations.Begin/b")
             self.check_accepted("/-/Evacuations.Finish/b")
-            self.check_accepted("/-/Evacuations.Begin/b")  # taken for a copy: acknowledged, without effect
+            # May be a copy of the one before: no answer promises anything until no copy can come any more.
+            self.assertEqual(post("/-/Evacuations.Begin/b"), 503)
             self.assertIn('"zones":"a"', self.zones(folder))
+            self.check_accepted("/-/Evacuations.Begin/b")
+            self.assertIn('"zones":"a,b"', self.zones(folder))
             self.assertEqual(post("/-/Evacuations.Begin/nowhere"), 400)
             child.kill()
             child.wait()
@@ -101,6 +105,37 @@
             self.check_accepted("/-/Evacuations.Begin/b")
             self.assertIn('"zones":"a,b"', self.zones(folder))
 
+    def test_orders_by_turns_end_with_the_last_one_in_force(self):
+        for pause in (0.1, 0.5):
+            for first in ("Begin", "Finish"):
+                with self.subTest(pause=pause, first=first), tempfile.TemporaryDirectory() as folder:
+                    (pathlib.Path(folder) / "data").mkdir()
+                    child = self.start(folder)
+                    try:
+                        for call in 2 * [first, "Finish" if first == "Begin" else "Begin"]:
+                            self.check_accepted(f"/-/Evacuations.{call}/a")
+                            self.assertIn(f'"zones":"{"a" if call == "Begin" else ""}"', self.zones(folder))
+                            time.sleep(pause)
+                    finally:
+                        child.kill()
+                        child.wait()
+
+    def test_a_refused_order_says_when_to_come_back(self):
+        with tempfile.TemporaryDirectory() as folder:
+            (pathlib.Path(folder) / "data").mkdir()
+            self.start(folder)
+            self.check_accepted("/-/Evacuations.Begin/a")
+            self.check_accepted("/-/Evacuations.Finish/a")
+            caller = http.client.HTTPConnection(IP, 18229, timeout=5.0)
+            caller.request("POST", "/-/Evacuations.Begin/a")
+            refused = caller.getresponse()
+            self.assertEqual(refused.status, 503)
+            seconds = float(refused.getheader("Retry-After"))
+            caller.close()
+            self.assertLessEqual(seconds, REPEAT)
+            time.sleep(seconds)
+            self.assertEqual(post("/-/Evacuations.Begin/a"), 200)
+
     def test_an_order_that_its_sender_gave_up_is_dropped(self):
         with tempfile.TemporaryDirectory() as folder:
             (pathlib.Path(folder) / "data").mkdir()
