--- a/src/http.cpp
+++ b/src/http.cpp
@@ -1,5 +1,7 @@
 #include "http.h"
 
+#include "httpmessage.h"
+
 #include <cpprest/http_client.h>
 #include <cpprest/http_listener.h>
 #include <cpprest/producerconsumerstream.h>
@@ -339,6 +341,11 @@
                     self->end_with_error(failure.what());
                     return;
                 }
+                if (!is_response_status(response.status_code())) {
+                    self->cancel();
+                    self->end_with_error("the answer has no status that HTTP defines");
+                    return;
+                }
                 self->receiver.on_start(response.status_code(), read_headers(response.headers()));
                 self->read_more(response.body());
             });
--- a/src/httpmessage.cpp
+++ b/src/httpmessage.cpp
@@ -63,7 +63,11 @@
         head.target = text(target);
     }
     void on_response_impl(int code, beast_text reason, int /*version*/,
-                          beast_error& /*failed*/) override {
+                          beast_error& failed) override {
+        if (!is_response_status(code)) {
+            failed = http::error::bad_status;
+            return;
+        }
         head.status = static_cast<unsigned>(code);
         head.reason = text(reason);
     }
@@ -110,6 +114,12 @@
 
 } // namespace
 
+bool is_response_status(int status) {
+    constexpr int first = 100;
+    constexpr int last = 599;
+    return status >= first && status <= last;
+}
+
 // One of the two parsers is in use, as the kind says.
 struct message_reader::implementation {
     http_kind kind{http_kind::request};
--- a/src/httpmessage.h
+++ b/src/httpmessage.h
@@ -63,7 +63,12 @@
     truncated ///< the connection ended inside the message
 };
 
-/// Reads one message. One with a transfer coding other than "chunked" is malformed.
+/// Whether HTTP defines a class for a status (RFC 9110, 15: 100 to 599). What has any other one is
+/// no response.
+bool is_response_status(int status);
+
+/// Reads one message. One with a transfer coding other than "chunked" is malformed, and so is a
+/// response for whose status is_response_status() is false.
 class message_reader {
 public:
     /// Starts a message.
--- a/tests/gatewayworld.h
+++ b/tests/gatewayworld.h
@@ -31,10 +31,13 @@
     response_close close{response_close::orderly}; ///< of the connection, after the response
     bool target_ends{false}; ///< the target listens no more when the connection ends
     bool silent{false};      ///< the target closes the connection without a response
+    std::string status{"200 OK"};
+    std::string attempt_id{"a1"}; ///< "a1" is that of the request
 };
 
 inline std::string encode(scripted_response const& script) {
-    std::string out = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n";
+    std::string out = "HTTP/1.1 " + script.status + "\r\nAttempt-Id: " + script.attempt_id +
+                      "\r\nServer-Signature: s\r\n";
     auto const missing = script.whole ? 0U : 1U;
     switch (script.framing) {
     case body_framing::length:
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <array>
 #include <atomic>
 #include <cstdlib>
 #include <functional>
@@ -157,6 +158,31 @@
     }
 }
 
+// Engines and control replicas are called through this client.
+TEST_CASE("an answer whose status HTTP does not define is an error") {
+    start_threads_once();
+    for (std::string const status : {"000", "099", "600", "999"}) {
+        CAPTURE(status);
+        net::io_context context;
+        tcp::acceptor acceptor{context, tcp::endpoint{net::ip::address_v4::loopback(), 0}};
+        auto const served = std::async(std::launch::async, [&] {
+            auto peer = acceptor.accept();
+            std::array<char, 1024> request{};
+            peer.read_some(net::buffer(request));
+            net::write(peer,
+                       net::buffer("HTTP/1.1 " + status + " Text\r\nContent-Length: 2\r\n\r\nok"));
+            net_error ended;
+            peer.read_some(net::buffer(request), ended);
+        });
+        http_client_request request;
+        request.method = "GET";
+        request.address = text_of(acceptor.local_endpoint());
+        request.path = "/health";
+        request.timeout = 2s;
+        CHECK_FALSE(call_http(request));
+    }
+}
+
 TEST_CASE("streams are written while all threads of the server wait for the writer's lock") {
     // Guards against a deadlock: a write that waits for a task of the pool, under a lock that every
     // thread of the pool is waiting for.
