--- a/src/targetpool.cpp
+++ b/src/targetpool.cpp
@@ -330,6 +330,11 @@
             end(exchange_result::no_response);
             return;
         }
+        // The end of a connection is reported once; a read after it would never complete.
+        if (connection_ != connection_end::open) {
+            end(failed_result());
+            return;
+        }
         auto const rest = reader_.take_rest();
         reader_ = make_reader();
         if (rest.empty()) {
--- a/tests/gateway_badstatus_test.cpp
+++ b/tests/gateway_badstatus_test.cpp
@@ -63,6 +63,20 @@
     }
 }
 
+// An extra response that ends with its connection: nothing can follow it there.
+TEST_CASE("another request's response that ends with its connection is as no answer") {
+    for (std::string const route : {"idempotent", "resumable", "stream", "once"}) {
+        CAPTURE(route);
+        scripted_response script{body_framing::connection, all_events};
+        script.attempt_id = "other";
+        gateway_world world{script};
+        auto const begun = loop_now(world.owner.loop);
+        bool const may_run_again = route == "idempotent" || route == "resumable";
+        CHECK(world.call(route).status == (may_run_again ? 200 : 502));
+        CHECK(loop_now(world.owner.loop) - begun < milliseconds{500});
+    }
+}
+
 // The gateway asks whoever listens at the address whether it is the target; so do its other checks.
 TEST_CASE("a health check with no valid status proves nothing") {
     gateway_world world{{body_framing::connection, plain_body}};
