--- a/src/departurelog.cpp
+++ b/src/departurelog.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-std::size_t size_of(stored_departure const& departure) {
-    return serialize(departure).size();
-}
-
 bool is_older(stored_departure const& left, stored_departure const& right) {
     return std::tuple{!left.target.service.empty(), left.recorded_at} <
            std::tuple{!right.target.service.empty(), right.recorded_at};
@@ -20,16 +16,12 @@
 
 void enforce_limits(departure_ledger& ledger, directory_limits const& limits) {
     auto& kept = ledger.departures;
-    std::size_t bytes = 0;
-    for (auto const& [id, departure] : kept) {
-        bytes += size_of(departure);
-    }
-    while (kept.size() > limits.targets || bytes > limits.text_bytes) {
+    while (kept.size() > limits.targets || ledger.text_bytes > limits.text_bytes) {
         auto const oldest =
             std::min_element(kept.begin(), kept.end(), [](auto const& left, auto const& right) {
                 return is_older(left.second, right.second);
             });
-        bytes -= size_of(oldest->second);
+        ledger.text_bytes -= text_bytes(oldest->second.target);
         kept.erase(oldest);
     }
 }
@@ -63,15 +55,6 @@
     return opened.files.sync_folder(folder);
 }
 
-result<void> rewrite(departure_log& opened, departure_ledger const& kept) {
-    std::vector<std::string> records;
-    records.reserve(kept.departures.size());
-    for (auto const& [id, departure] : kept.departures) {
-        records.push_back(serialize(departure));
-    }
-    return checkpoint_wal(opened.log, records);
-}
-
 } // namespace
 
 bool covers(departure_ledger const& ledger, target_announcement const& target,
@@ -92,6 +75,7 @@
     bool const is_later = std::tuple{departure.target.started_at, departure.target.state} >=
                           std::tuple{kept.target.started_at, kept.target.state};
     if (kept.target.id.empty() || is_later) {
+        ledger.text_bytes += text_bytes(departure.target) - text_bytes(kept.target);
         kept = departure;
     }
     enforce_limits(ledger, settings.limits);
@@ -103,7 +87,9 @@
         departure.recorded_at = std::min(departure.recorded_at, now);
     }
     std::erase_if(ledger.departures, [&](auto const& entry) {
-        return now - entry.second.recorded_at > settings.retention;
+        bool const expired = now - entry.second.recorded_at > settings.retention;
+        ledger.text_bytes -= expired ? text_bytes(entry.second.target) : 0;
+        return expired;
     });
 }
 
@@ -120,26 +106,27 @@
     // Every opening begins a segment; what is expired goes with the earlier ones. Without room for
     // it the log serves as it is, and the next write fails.
     if (opened.log.bytes_since_checkpoint > 0) {
-        (void)rewrite(opened, kept);
+        (void)rewrite_departures(opened, kept);
     }
     return kept;
 }
 
-result<void> write_departures(departure_log& opened, std::vector<stored_departure> const& added,
-                              departure_ledger const& kept,
+result<bool> write_departures(departure_log& opened, std::vector<stored_departure> const& added,
                               departure_log_settings const& settings) {
     for (auto const& departure : added) {
         append_wal(opened.log, serialize(departure));
     }
     BOOST_OUTCOME_TRYV(sync_wal(opened.log));
-    if (opened.log.bytes_since_checkpoint > settings.checkpoint_bytes) {
-        auto all = kept;
-        for (auto const& departure : added) {
-            add_departure(all, departure, settings);
-        }
-        (void)rewrite(opened, all); // what was added is durable; a failure shows at the next write
+    return opened.log.bytes_since_checkpoint > settings.checkpoint_bytes;
+}
+
+result<void> rewrite_departures(departure_log& opened, departure_ledger const& kept) {
+    std::vector<std::string> records;
+    records.reserve(kept.departures.size());
+    for (auto const& [id, departure] : kept.departures) {
+        records.push_back(serialize(departure));
     }
-    return ok();
+    return checkpoint_wal(opened.log, records);
 }
 
 } // namespace fireflycrank
--- a/src/departurelog.h
+++ b/src/departurelog.h
@@ -17,7 +17,7 @@
 
 namespace fireflycrank {
 
-/// A departure, or the begin of one, as it was recorded.
+/// A departure, or its beginning, as it was recorded.
 struct stored_departure {
     target_announcement target; ///< draining or departed
     wall_time recorded_at{};
@@ -35,6 +35,7 @@
 /// The departures that are kept, by the target's id.
 struct departure_ledger {
     std::map<std::string, stored_departure> departures;
+    std::size_t text_bytes{0}; ///< of all targets in it
 };
 
 /// Whether a ledger makes a record of this departure needless: it holds the same or a later state
@@ -73,9 +74,14 @@
                                             departure_log_settings const& settings, wall_time now);
 
 /// Makes departures durable, with one sync.
-/// @param kept what the log holds besides, for rewriting it
+/// @return whether the log has grown so much that it should be rewritten; or `disk_failure`, and
+/// then the log has to be opened again
+result<bool> write_departures(departure_log& opened, std::vector<stored_departure> const& added,
+                              departure_log_settings const& settings);
+
+/// Replaces the log by what is kept of it.
+/// @param kept all departures that are durable
 /// @return nothing, or `disk_failure`; then the log has to be opened again
-result<void> write_departures(departure_log& opened, std::vector<stored_departure> const& added,
-                              departure_ledger const& kept, departure_log_settings const& settings);
+result<void> rewrite_departures(departure_log& opened, departure_ledger const& kept);
 
 } // namespace fireflycrank
--- a/src/departurestore.cpp
+++ b/src/departurestore.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+// Confirmations of one departure that wait for its sync. Notices of it are repeated a few times.
+constexpr std::size_t most_waiting = 32;
+
 struct waiting_departure {
     stored_departure departure;
     std::vector<std::function<void()>> on_durable;
@@ -79,11 +82,11 @@
         for (auto const& one : in_flight) {
             added.push_back(one.departure);
         }
-        run([this, added, kept = durable] { return write_departures(log, added, kept, settings); },
-            [this](result<void> const& written) { finish_write(written); });
+        run([this, added] { return write_departures(log, added, settings); },
+            [this](result<bool> const& written) { finish_write(written); });
     }
 
-    void finish_write(result<void> const& written) {
+    void finish_write(result<bool> const& written) {
         auto batch = std::exchange(in_flight, {});
         if (!written) {
             fail_with(written.error());
@@ -99,7 +102,21 @@
                 on_durable();
             }
         }
-        write_next();
+        if (written.value()) {
+            rewrite();
+        } else {
+            write_next();
+        }
+    }
+
+    void rewrite() {
+        run([this, kept = durable] { return rewrite_departures(log, kept); },
+            [this](result<void> const& written) {
+                if (!written) {
+                    fail_with(written.error());
+                }
+                write_next();
+            });
     }
 
     void fail_with(error const& reason) {
@@ -147,7 +164,11 @@
             std::find_if(batch->begin(), batch->end(),
                          [&](waiting_departure const& one) { return is_queued_as(one, target); });
         if (same != batch->end()) {
-            same->on_durable.push_back(std::move(on_durable));
+            auto& waiting = same->on_durable;
+            if (waiting.size() >= most_waiting) {
+                waiting.erase(waiting.begin()); // its sender has given up
+            }
+            waiting.push_back(std::move(on_durable));
             return;
         }
     }
--- a/src/targetdirectory.cpp
+++ b/src/targetdirectory.cpp
@@ -62,14 +62,6 @@
             announcement.version};
 }
 
-std::size_t text_bytes(target_announcement const& announcement) {
-    std::size_t bytes = 0;
-    for (auto const text : text_of(announcement)) {
-        bytes += text.size();
-    }
-    return bytes;
-}
-
 // Lower ranks are evicted first. A departure that was acknowledged outlasts a silent target.
 auto eviction_rank(target_record const& record) {
     auto const& announcement = record.announcement;
@@ -81,24 +73,35 @@
 // Evicts targets until one more with so much text fits.
 void make_room(target_directory& directory, std::size_t bytes) {
     auto& targets = directory.targets;
-    std::size_t used = bytes;
-    for (auto const& [id, record] : targets) {
-        used += text_bytes(record.announcement);
-    }
-    while (!targets.empty() &&
-           (targets.size() >= directory.limits.targets || used > directory.limits.text_bytes)) {
+    while (!targets.empty() && (targets.size() >= directory.limits.targets ||
+                                directory.text_bytes + bytes > directory.limits.text_bytes)) {
         auto const victim = std::min_element(
             targets.begin(), targets.end(), [](auto const& left, auto const& right) {
                 return eviction_rank(left.second) < eviction_rank(right.second);
             });
-        used -= text_bytes(victim->second.announcement);
+        directory.text_bytes -= text_bytes(victim->second.announcement);
         targets.erase(victim);
         ++directory.evicted;
     }
 }
 
+// Every change of a record's text goes through here, so that the sum stays right.
+void replace(target_directory& directory, target_record& record,
+             target_announcement const& announcement) {
+    directory.text_bytes += text_bytes(announcement) - text_bytes(record.announcement);
+    record.announcement = announcement;
+}
+
 } // namespace
 
+std::size_t text_bytes(target_announcement const& announcement) {
+    std::size_t bytes = 0;
+    for (auto const text : text_of(announcement)) {
+        bytes += text.size();
+    }
+    return bytes;
+}
+
 announcement_fault check_text(target_announcement const& announcement) {
     if (text_bytes(announcement) > max_announcement_text) {
         return announcement_fault::too_long;
@@ -143,7 +146,7 @@
         make_room(directory, text_bytes(announcement));
     }
     auto& record = directory.targets[announcement.id];
-    record.announcement = announcement;
+    replace(directory, record, announcement);
     record.last_heard = now;
     if (affects_routing) {
         mark_changed(directory, record);
@@ -173,6 +176,7 @@
     }
     if (announcement.id.empty()) {
         announcement.id = id;
+        directory.text_bytes += id.size();
         announcement.started_at = started_at == wall_time{} ? wall_now : started_at;
     } else if (started_at != wall_time{}) {
         announcement.started_at = started_at;
@@ -211,10 +215,12 @@
                     time_point now) {
     std::erase_if(directory.targets, [&](auto const& entry) {
         auto const& record = entry.second;
-        auto const age = now - record.last_heard;
-        return age > (record.announcement.state == target_phase::departed
-                          ? settings.departed_retention
-                          : settings.silent_retention);
+        bool const expired =
+            now - record.last_heard > (record.announcement.state == target_phase::departed
+                                           ? settings.departed_retention
+                                           : settings.silent_retention);
+        directory.text_bytes -= expired ? text_bytes(record.announcement) : 0;
+        return expired;
     });
 }
 
--- a/src/targetdirectory.h
+++ b/src/targetdirectory.h
@@ -47,6 +47,9 @@
     too_long    ///< its text exceeds `max_announcement_text`
 };
 
+/// Size of an announcement's text.
+std::size_t text_bytes(target_announcement const& announcement);
+
 /// Checks the text of an announcement. Any process may send one.
 announcement_fault check_text(target_announcement const& announcement);
 
@@ -74,7 +77,8 @@
     std::map<std::string, target_record> targets;
     std::uint64_t last_change{0};
     directory_limits limits;
-    std::uint64_t evicted{0}; ///< targets that were dropped because of `limits`
+    std::size_t text_bytes{0}; ///< of all announcements
+    std::uint64_t evicted{0};  ///< targets that were dropped because of `limits`
 };
 
 /// Where this process received an announcement from.
--- a/tests/control_departures_test.cpp
+++ b/tests/control_departures_test.cpp
@@ -96,6 +96,13 @@
     }
     CHECK(ledger.departures.size() == 100);
     CHECK(ledger.departures.contains("real"));
+    std::size_t bytes = 0;
+    for (auto const& [id, departure] : ledger.departures) {
+        bytes += text_bytes(departure.target);
+    }
+    CHECK(ledger.text_bytes == bytes);
+    remove_expired(ledger, settings, at(seconds{500}));
+    CHECK(ledger.text_bytes == 0);
 }
 
 // Any moment of a power cut, a full disk or a failed sync.
@@ -123,13 +130,17 @@
                 for (auto count = 1 + next_below(random, 3); count > 0; --count) {
                     added.push_back({leaving("t" + std::to_string(number++), 1), at(seconds{1})});
                 }
-                if (!write_departures(log, added, ledger, settings)) {
+                auto const written = write_departures(log, added, settings);
+                if (!written) {
                     break;
                 }
                 for (auto const& one : added) {
                     add_departure(ledger, one, settings);
                     promised.insert(one.target.id);
                 }
+                if (written.value() && !rewrite_departures(log, ledger)) {
+                    break;
+                }
             }
             close_wal(log.log);
             disk.crash(random);
@@ -151,8 +162,12 @@
         for (int number = 0; number < 40; ++number) {
             auto const id = std::to_string(start) + "/" + std::to_string(number);
             stored_departure const added{leaving(id, 1), now};
-            REQUIRE(write_departures(log, {added}, ledger.value(), settings));
+            auto const written = write_departures(log, {added}, settings);
+            REQUIRE(written);
             add_departure(ledger.value(), added, settings);
+            if (written.value()) {
+                REQUIRE(rewrite_departures(log, ledger.value()));
+            }
         }
         close_wal(log.log);
     }
@@ -170,8 +185,8 @@
         departure_log log;
         auto const opened = open_departure_log(log, disk.make_layer(), folder, {}, at(seconds{1}));
         REQUIRE(opened);
-        REQUIRE(write_departures(log, {{leaving("a", 1), at(seconds{1})}}, {}, {}));
-        REQUIRE(write_departures(log, {{leaving("b", 1), at(seconds{1})}}, {}, {}));
+        REQUIRE(write_departures(log, {{leaving("a", 1), at(seconds{1})}}, {}));
+        REQUIRE(write_departures(log, {{leaving("b", 1), at(seconds{1})}}, {}));
         close_wal(log.log);
     }
     for (auto const& [name, file] : disk.names) {
@@ -180,7 +195,7 @@
     departure_log log;
     auto const opened = open_departure_log(log, disk.make_layer(), folder, {}, at(seconds{1}));
     REQUIRE(opened);
-    REQUIRE(write_departures(log, {{leaving("c", 1), at(seconds{1})}}, opened.value(), {}));
+    REQUIRE(write_departures(log, {{leaving("c", 1), at(seconds{1})}}, {}));
     close_wal(log.log);
 }
 
--- a/tests/control_evacuations_test.cpp
+++ b/tests/control_evacuations_test.cpp
@@ -33,15 +33,15 @@
 
     // Takes an order as the registrar does; returns whether it took effect. What is acknowledged is
     // in force, whether it took effect or was so before.
-    bool take(evacuation_order order, std::int64_t ms) {
+    bool take(evacuation_order const& order, std::int64_t ms) {
         for (auto step = now_ms; step < ms; step += 50) {
             note_time(memory, at_ms(step));
         }
-        return take_after_pause(std::move(order), ms);
+        return take_after_pause(order, ms);
     }
 
     // The same after a time in which the process did not run.
-    bool take_after_pause(evacuation_order order, std::int64_t ms) {
+    bool take_after_pause(evacuation_order const& order, std::int64_t ms) {
         now_ms = ms;
         note_time(memory, at_ms(ms));
         acknowledged = wait_for_copies(memory, table.current, order) == duration::zero();
@@ -181,7 +181,7 @@
 
 TEST_CASE("the times of orders are forgotten after some minutes") {
     evacuation_table table;
-    for (int number = 0; number < 100; ++number) {
+    for (std::int64_t number = 0; number < 100; ++number) {
         apply(table, begin("zone-" + std::to_string(number)), wall_at(60'000 * number));
     }
     CHECK(table.last_orders.size() == 11);
--- a/tests/gateway_outsidetext_test.cpp
+++ b/tests/gateway_outsidetext_test.cpp
@@ -160,6 +160,13 @@
     REQUIRE(directory.targets.contains("leaving"));
     CHECK(directory.targets.at("leaving").announcement.state == target_phase::departed);
     CHECK(directory.evicted > 0);
+    std::size_t bytes = 0;
+    for (auto const& [id, record] : directory.targets) {
+        bytes += text_bytes(record.announcement);
+    }
+    CHECK(directory.text_bytes == bytes);
+    remove_expired(directory, {}, at(seconds{500}));
+    CHECK(directory.text_bytes == 0);
 }
 
 // Each beat is answered with the ids that are unheard, and links carry some tens of Mbit/s.
