--- a/src/departurestore.cpp
+++ b/src/departurestore.cpp
@@ -97,16 +97,17 @@
         for (auto const& one : batch) {
             add_departure(durable, one.departure, settings);
         }
-        for (auto const& one : batch) {
-            for (auto const& on_durable : one.on_durable) {
-                on_durable();
-            }
-        }
+        // Before the callbacks, which may record more: a rewrite covers what is durable now.
         if (written.value()) {
             rewrite();
         } else {
             write_next();
         }
+        for (auto const& one : batch) {
+            for (auto const& on_durable : one.on_durable) {
+                on_durable();
+            }
+        }
     }
 
     void rewrite() {
--- a/tests/control_departures_test.cpp
+++ b/tests/control_departures_test.cpp
@@ -232,6 +232,33 @@
     CHECK(store.kept() == 2);
 }
 
+// A rewrite of the log must not lose what is recorded while it is due.
+TEST_CASE("a store keeps what is recorded from a confirmation") {
+    fake_disk disk;
+    departure_log_settings settings;
+    settings.checkpoint_bytes = 500; // due all the time
+    int const count = 200;
+    int confirmed = 0;
+    {
+        net::io_context loop;
+        departure_store store{loop, disk.make_layer(), folder, settings};
+        store.open(at(seconds{1}));
+        std::function<void()> const record_next = [&] {
+            if (++confirmed < count) {
+                store.record(leaving(std::to_string(confirmed), 1), at(seconds{1}), record_next);
+            }
+        };
+        store.record(leaving("0", 1), at(seconds{1}), record_next);
+        CHECK(run_until(loop, [&] { return confirmed == count; }));
+    }
+    departure_log log;
+    auto const opened =
+        open_departure_log(log, disk.make_layer(), folder, settings, at(seconds{1}));
+    REQUIRE(opened);
+    CHECK(opened.value().departures.size() == static_cast<std::size_t>(count));
+    close_wal(log.log);
+}
+
 TEST_CASE("a store whose disk was full confirms once it can write again") {
     fake_disk disk;
     net::io_context loop;
