--- a/tests/evacuation_orders_test.py
+++ b/tests/evacuation_orders_test.py
@@ -63,6 +63,9 @@
 
 
 class EvacuationOrders(unittest.TestCase):
+    def setUp(self):
+        self.acknowledged = 0  # orders, in the folder of the present system
+
     def start(self, folder):
         path = pathlib.Path(folder) / "settings.yaml"
         path.write_text(settings(pathlib.Path(folder) / "data"))
@@ -73,14 +76,22 @@
         return child
 
     def zones(self, folder):
-        """The zones after the last order, as event 306 tells them."""
-        lines = [one for one in (pathlib.Path(folder) / "log").read_text().splitlines() if "evacuation_ordered" in one]
-        return lines[-1]
+        """The zones after the last order, as event 306 tells them. A thread of the process writes the log, so the line of
+        an order may come after its answer; it is waited for, and each order has one."""
+        until = time.monotonic() + 5.0
+        while True:
+            text = (pathlib.Path(folder) / "log").read_text()
+            lines = [one for one in text.splitlines() if "evacuation_ordered" in one]
+            if len(lines) >= self.acknowledged:
+                return lines[-1]
+            self.assertLess(time.monotonic(), until, f"{len(lines)} orders logged, {self.acknowledged} acknowledged")
+            time.sleep(0.002)
 
     def check_accepted(self, path):
         statuses = order(path)
         self.assertEqual(statuses[-1], 200)
         self.assertTrue(set(statuses) <= {0, 200, 503}, statuses)
+        self.acknowledged += 1
 
     def test_orders_are_acknowledged_and_kept(self):
         with tempfile.TemporaryDirectory() as folder:
@@ -111,6 +122,7 @@
                 with self.subTest(pause=pause, first=first), tempfile.TemporaryDirectory() as folder:
                     (pathlib.Path(folder) / "data").mkdir()
                     child = self.start(folder)
+                    self.acknowledged = 0
                     try:
                         for call in 2 * [first, "Finish" if first == "Begin" else "Begin"]:
                             self.check_accepted(f"/-/Evacuations.{call}/a")
